transport: add authenticated peer links on websocketpp

Cause: instances need links that only holders of the shared secret can join. Change: PeerLinks with mutual HMAC-SHA256 over both nonces, message size limit, bounded queues, replacement of silent links; a C++17 unit behind a plain header.

--- a/support/lint.sh
+++ b/support/lint.sh
@@ -13,7 +13,7 @@
 fi
 
 build=${ENDIVEQUAY_BUILD_DIR:-build}-none
-[[ -f $build/compile_commands.json ]] || cmake -S . -B "$build" -G Ninja >/dev/null
+cmake -S . -B "$build" -G Ninja >/dev/null
 # Test sources use macros that trip many checks; the compiler's warnings cover them.
 printf '%s\n' "${files[@]}" | grep -E '/src/.*\.cpp$' |
     xargs -P "$(nproc)" -n 1 clang-tidy -p "$build" --quiet 2>/dev/null
--- /dev/null
+++ b/transport/src/peerlinks.cpp
@@ -0,0 +1,558 @@
+#include "endivequay/peerlinks.h"
+
+#include "endivequay/digest.h"
+
+#include <nlohmann/json.hpp>
+#include <websocketpp/client.hpp>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/config/asio_no_tls_client.hpp>
+#include <websocketpp/server.hpp>
+
+#include <atomic>
+#include <map>
+#include <optional>
+#include <set>
+#include <thread>
+
+namespace endivequay {
+
+namespace {
+
+using Json = nlohmann::json;
+using Server = websocketpp::server<websocketpp::config::asio>;
+using Client = websocketpp::client<websocketpp::config::asio_client>;
+using Handle = websocketpp::connection_hdl;
+using FrameType = websocketpp::frame::opcode::value;
+
+constexpr long handshakeTimeoutMs = 3'000;
+constexpr std::size_t minSecretBytes = 16;
+constexpr std::size_t nonceBytes = 16;
+// A peer that does not read for this long a queue is cut off instead of filling the memory.
+constexpr std::size_t maxQueuedBytes = 8'000'000;
+
+struct HostPort
+{
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+std::optional<HostPort> parseAddress(const std::string &text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos || colon == 0 || colon + 1 == text.size())
+        return std::nullopt;
+    unsigned long port = 0;
+    for (char c : text.substr(colon + 1)) {
+        if (c < '0' || c > '9')
+            return std::nullopt;
+        port = port * 10 + static_cast<unsigned long>(c - '0');
+        if (port > 65535)
+            return std::nullopt;
+    }
+    return HostPort { text.substr(0, colon), static_cast<std::uint16_t>(port) };
+}
+
+std::string hexNonce()
+{
+    return sha256Hex(randomBytes(nonceBytes));
+}
+
+/// First message of each side.
+struct Hello
+{
+    std::string cluster;
+    std::string nonce;
+    PeerIdentity identity;
+};
+
+Json toJson(const Hello &hello)
+{
+    return { { "cluster", hello.cluster }, { "nonce", hello.nonce },
+        { "address", hello.identity.address },
+        { "incarnation", std::to_string(hello.identity.incarnation) } };
+}
+
+std::optional<std::string> textField(const Json &json, const char *name)
+{
+    if (!json.is_object())
+        return std::nullopt;
+    const auto found = json.find(name);
+    if (found == json.end() || !found->is_string())
+        return std::nullopt;
+    return found->get<std::string>();
+}
+
+std::optional<std::uint64_t> parseNumber(const std::string &text)
+{
+    if (text.empty() || text.size() > 20
+        || text.find_first_not_of("0123456789") != std::string::npos)
+        return std::nullopt;
+    errno = 0;
+    const auto number = std::strtoull(text.c_str(), nullptr, 10);
+    return errno == 0 ? std::optional<std::uint64_t>(number) : std::nullopt;
+}
+
+std::optional<Hello> parseHello(const Json &json)
+{
+    const auto cluster = textField(json, "cluster");
+    const auto nonce = textField(json, "nonce");
+    const auto address = textField(json, "address");
+    const auto incarnation = textField(json, "incarnation");
+    if (!cluster || !nonce || !address || !incarnation || !parseAddress(*address))
+        return std::nullopt;
+    const auto number = parseNumber(*incarnation);
+    if (!number)
+        return std::nullopt;
+    return Hello { *cluster, *nonce, { *address, *number } };
+}
+
+std::string proof(
+    const std::string &secret, const char *role, const Hello &client, const Hello &server)
+{
+    return hmacSha256Hex(secret, Json::array({ role, toJson(client), toJson(server) }).dump());
+}
+
+} // namespace
+
+/// All members below the io context are touched only on its thread.
+class PeerLinks::Implementation
+{
+public:
+    Implementation(PeerLinkSettings settings, PeerLinkHandlers handlers)
+        : settings_(std::move(settings))
+        , handlers_(std::move(handlers))
+    { }
+
+    ~Implementation() { stop(); }
+
+    void bind(const HostPort &listen);
+    void run();
+    void stop();
+
+    const std::string &address() const { return settings_.advertisedAddress; }
+    PeerLinkCounters counters() const;
+
+    template <class Action>
+    void post(Action action)
+    {
+        asio::post(context_, std::move(action));
+    }
+
+    void connect(const std::string &address);
+    void drop(const std::string &address);
+    void send(const std::string &address, const std::string &message);
+
+private:
+    struct Session
+    {
+        bool outgoing = false;
+        bool authenticated = false;
+        std::string target; ///< Address that this side dialled; empty for incoming sessions.
+        Hello own;
+        std::optional<Hello> remote;
+        std::string remoteEndpoint;
+    };
+
+    using Sessions = std::map<Handle, Session, std::owner_less<Handle>>;
+
+    template <class Endpoint>
+    void prepare(Endpoint &endpoint, bool outgoing);
+    Session newSession(bool outgoing) const;
+    void onOpen(const Handle &handle, bool outgoing);
+    void onClose(const Handle &handle);
+    void onMessage(const Handle &handle, FrameType type, const std::string &payload);
+    void onHandshake(const Handle &handle, Session &session, const std::string &payload);
+    void onServerHandshake(const Handle &handle, Session &session, const Json &json);
+    void onClientHandshake(const Handle &handle, Session &session, const Json &json);
+    void authenticated(const Handle &handle, Session &session);
+    void reject(const Handle &handle, const Session &session, const std::string &reason);
+    bool acceptable(const Hello &hello) const { return hello.cluster == settings_.cluster; }
+    void write(const Handle &handle, bool outgoing, const std::string &payload, FrameType type);
+    void close(const Handle &handle, bool outgoing);
+    std::size_t queuedBytes(const Handle &handle, bool outgoing);
+
+    PeerLinkSettings settings_;
+    const PeerLinkHandlers handlers_;
+    asio::io_context context_;
+    Server server_;
+    Client client_;
+    std::thread thread_;
+    std::atomic<bool> stopped_ { false };
+
+    Sessions sessions_;
+    std::map<std::string, Handle> links_; ///< Authenticated link in use, by peer address.
+    std::set<std::string> dialling_;
+
+    std::atomic<std::uint64_t> sentMessages_ { 0 };
+    std::atomic<std::uint64_t> sentBytes_ { 0 };
+    std::atomic<std::uint64_t> receivedMessages_ { 0 };
+    std::atomic<std::uint64_t> receivedBytes_ { 0 };
+};
+
+template <class Endpoint>
+void PeerLinks::Implementation::prepare(Endpoint &endpoint, bool outgoing)
+{
+    endpoint.clear_access_channels(websocketpp::log::alevel::all);
+    endpoint.clear_error_channels(websocketpp::log::elevel::all);
+    endpoint.init_asio(&context_);
+    endpoint.set_max_message_size(settings_.maxMessageBytes);
+    endpoint.set_open_handshake_timeout(handshakeTimeoutMs);
+    endpoint.set_close_handshake_timeout(handshakeTimeoutMs);
+    endpoint.set_socket_init_handler([](const Handle &, asio::ip::tcp::socket &socket) {
+        asio::error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    });
+    endpoint.set_open_handler([this, outgoing](const Handle &handle) { onOpen(handle, outgoing); });
+    endpoint.set_close_handler([this](const Handle &handle) { onClose(handle); });
+    endpoint.set_fail_handler([this](const Handle &handle) { onClose(handle); });
+    endpoint.set_message_handler(
+        [this](const Handle &handle, typename Endpoint::message_ptr message) {
+            onMessage(handle, message->get_opcode(), message->get_payload());
+        });
+}
+
+void PeerLinks::Implementation::bind(const HostPort &listen)
+{
+    prepare(server_, false);
+    prepare(client_, true);
+    server_.set_reuse_addr(true);
+    server_.listen(asio::ip::tcp::endpoint(asio::ip::make_address(listen.host), listen.port));
+    server_.start_accept();
+    if (settings_.advertisedAddress.empty()) {
+        asio::error_code error;
+        const auto endpoint = server_.get_local_endpoint(error);
+        settings_.advertisedAddress = listen.host + ":" + std::to_string(endpoint.port());
+    }
+}
+
+void PeerLinks::Implementation::run()
+{
+    client_.start_perpetual();
+    thread_ = std::thread([this] { context_.run(); });
+}
+
+void PeerLinks::Implementation::stop()
+{
+    if (stopped_.exchange(true))
+        return;
+    if (thread_.joinable()) {
+        post([this] {
+            websocketpp::lib::error_code ignored;
+            server_.stop_listening(ignored);
+            client_.stop_perpetual();
+            for (const auto &[handle, session] : Sessions(sessions_))
+                close(handle, session.outgoing);
+            context_.stop();
+        });
+        thread_.join();
+    }
+}
+
+PeerLinkCounters PeerLinks::Implementation::counters() const
+{
+    return { sentMessages_, sentBytes_, receivedMessages_, receivedBytes_ };
+}
+
+PeerLinks::Implementation::Session PeerLinks::Implementation::newSession(bool outgoing) const
+{
+    Session session;
+    session.outgoing = outgoing;
+    session.own = { settings_.cluster, hexNonce(), { address(), settings_.incarnation } };
+    return session;
+}
+
+void PeerLinks::Implementation::connect(const std::string &address)
+{
+    if (links_.count(address) != 0 || !dialling_.insert(address).second)
+        return;
+    websocketpp::lib::error_code error;
+    const auto connection = client_.get_connection("ws://" + address + "/peer", error);
+    if (error) {
+        dialling_.erase(address);
+        return;
+    }
+    Session session = newSession(true);
+    session.target = address;
+    session.remoteEndpoint = address;
+    sessions_[connection->get_handle()] = std::move(session);
+    client_.connect(connection);
+}
+
+void PeerLinks::Implementation::drop(const std::string &address)
+{
+    const auto found = links_.find(address);
+    if (found == links_.end())
+        return;
+    const Handle handle = found->second;
+    const auto session = sessions_.find(handle);
+    const bool outgoing = session != sessions_.end() && session->second.outgoing;
+    // A silent connection never answers a close frame, so the session ends here, not on close.
+    onClose(handle);
+    close(handle, outgoing);
+}
+
+void PeerLinks::Implementation::send(const std::string &address, const std::string &message)
+{
+    const auto found = links_.find(address);
+    if (found == links_.end() || message.size() > settings_.maxMessageBytes)
+        return;
+    const Handle handle = found->second;
+    const bool outgoing = sessions_.at(handle).outgoing;
+    if (queuedBytes(handle, outgoing) + message.size() > maxQueuedBytes) {
+        drop(address);
+        return;
+    }
+    write(handle, outgoing, message, websocketpp::frame::opcode::binary);
+    ++sentMessages_;
+    sentBytes_ += message.size();
+}
+
+void PeerLinks::Implementation::onOpen(const Handle &handle, bool outgoing)
+{
+    if (outgoing) {
+        const auto found = sessions_.find(handle);
+        if (found != sessions_.end())
+            write(handle, true, toJson(found->second.own).dump(), websocketpp::frame::opcode::text);
+        return;
+    }
+    websocketpp::lib::error_code ignored;
+    const auto connection = server_.get_con_from_hdl(handle, ignored);
+    Session session = newSession(false);
+    if (connection) {
+        session.remoteEndpoint = connection->get_remote_endpoint();
+        connection->set_timer(handshakeTimeoutMs, [this, handle](auto) {
+            const auto found = sessions_.find(handle);
+            if (found != sessions_.end() && !found->second.authenticated)
+                reject(handle, found->second, "authentication timed out");
+        });
+    }
+    sessions_[handle] = std::move(session);
+}
+
+void PeerLinks::Implementation::onClose(const Handle &handle)
+{
+    const auto found = sessions_.find(handle);
+    if (found == sessions_.end())
+        return;
+    const Session session = std::move(found->second);
+    sessions_.erase(found);
+    dialling_.erase(session.target);
+    if (!session.authenticated)
+        return;
+    const PeerIdentity identity = session.remote->identity;
+    const auto link = links_.find(identity.address);
+    const std::owner_less<Handle> less;
+    if (link == links_.end() || less(link->second, handle) || less(handle, link->second))
+        return;
+    links_.erase(link);
+    if (handlers_.disconnected)
+        handlers_.disconnected(identity);
+}
+
+void PeerLinks::Implementation::onMessage(
+    const Handle &handle, FrameType type, const std::string &payload)
+{
+    const auto found = sessions_.find(handle);
+    if (found == sessions_.end())
+        return;
+    Session &session = found->second;
+    if (!session.authenticated) {
+        onHandshake(handle, session, payload);
+        return;
+    }
+    if (type != websocketpp::frame::opcode::binary) {
+        reject(handle, session, "message is not binary");
+        return;
+    }
+    ++receivedMessages_;
+    receivedBytes_ += payload.size();
+    if (handlers_.message)
+        handlers_.message(session.remote->identity, payload);
+}
+
+void PeerLinks::Implementation::onHandshake(
+    const Handle &handle, Session &session, const std::string &payload)
+{
+    constexpr std::size_t maxHandshakeBytes = 2'000;
+    const Json json = payload.size() > maxHandshakeBytes ? Json(Json::value_t::discarded)
+                                                         : Json::parse(payload, nullptr, false);
+    if (json.is_discarded()) {
+        reject(handle, session, "handshake is not valid JSON");
+        return;
+    }
+    if (session.outgoing)
+        onClientHandshake(handle, session, json);
+    else
+        onServerHandshake(handle, session, json);
+}
+
+void PeerLinks::Implementation::onServerHandshake(
+    const Handle &handle, Session &session, const Json &json)
+{
+    if (!session.remote) {
+        const auto hello = parseHello(json);
+        if (!hello || !acceptable(*hello)) {
+            reject(handle, session, hello ? "other cluster" : "handshake lacks a field");
+            return;
+        }
+        session.remote = hello;
+        Json reply = toJson(session.own);
+        reply["proof"] = proof(settings_.secret, "server", *hello, session.own);
+        write(handle, false, reply.dump(), websocketpp::frame::opcode::text);
+        return;
+    }
+    const auto given = textField(json, "proof");
+    const auto expected = proof(settings_.secret, "client", *session.remote, session.own);
+    if (!given || !equalConstantTime(*given, expected)) {
+        reject(handle, session, "wrong proof of the shared secret");
+        return;
+    }
+    authenticated(handle, session);
+}
+
+void PeerLinks::Implementation::onClientHandshake(
+    const Handle &handle, Session &session, const Json &json)
+{
+    const auto hello = parseHello(json);
+    const auto given = textField(json, "proof");
+    if (!hello || !given || !acceptable(*hello)) {
+        reject(handle, session, hello ? "other cluster or no proof" : "handshake lacks a field");
+        return;
+    }
+    if (!equalConstantTime(*given, proof(settings_.secret, "server", session.own, *hello))) {
+        reject(handle, session, "wrong proof of the shared secret");
+        return;
+    }
+    if (hello->identity.address != session.target) {
+        reject(handle, session, "peer advertises another address");
+        return;
+    }
+    session.remote = hello;
+    const Json reply { { "proof", proof(settings_.secret, "client", session.own, *hello) } };
+    write(handle, true, reply.dump(), websocketpp::frame::opcode::text);
+    authenticated(handle, session);
+}
+
+void PeerLinks::Implementation::authenticated(const Handle &handle, Session &session)
+{
+    session.authenticated = true;
+    dialling_.erase(session.target);
+    const PeerIdentity identity = session.remote->identity;
+    // When both sides dial at once both links stay open; each side sends on its latest one.
+    links_[identity.address] = handle;
+    if (handlers_.connected)
+        handlers_.connected(identity);
+}
+
+void PeerLinks::Implementation::reject(
+    const Handle &handle, const Session &session, const std::string &reason)
+{
+    const bool outgoing = session.outgoing;
+    const std::string remote = session.remoteEndpoint;
+    onClose(handle);
+    close(handle, outgoing);
+    if (handlers_.rejected)
+        handlers_.rejected(remote, reason);
+}
+
+void PeerLinks::Implementation::write(
+    const Handle &handle, bool outgoing, const std::string &payload, FrameType type)
+{
+    websocketpp::lib::error_code ignored;
+    if (outgoing)
+        client_.send(handle, payload, type, ignored);
+    else
+        server_.send(handle, payload, type, ignored);
+}
+
+void PeerLinks::Implementation::close(const Handle &handle, bool outgoing)
+{
+    websocketpp::lib::error_code ignored;
+    if (outgoing)
+        client_.close(handle, websocketpp::close::status::normal, "", ignored);
+    else
+        server_.close(handle, websocketpp::close::status::normal, "", ignored);
+}
+
+std::size_t PeerLinks::Implementation::queuedBytes(const Handle &handle, bool outgoing)
+{
+    websocketpp::lib::error_code ignored;
+    if (outgoing) {
+        const auto connection = client_.get_con_from_hdl(handle, ignored);
+        return connection ? connection->get_buffered_amount() : 0;
+    }
+    const auto connection = server_.get_con_from_hdl(handle, ignored);
+    return connection ? connection->get_buffered_amount() : 0;
+}
+
+PeerLinks::PeerLinks(std::unique_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation))
+{ }
+
+PeerLinks::~PeerLinks() = default;
+
+std::unique_ptr<PeerLinks> PeerLinks::start(
+    PeerLinkSettings settings, PeerLinkHandlers handlers, std::string *error)
+{
+    const auto listen = parseAddress(settings.listenAddress);
+    if (!listen) {
+        *error = "peer address '" + settings.listenAddress + "' is not ip:port";
+        return nullptr;
+    }
+    if (settings.secret.size() < minSecretBytes) {
+        *error = "the shared secret is shorter than 16 bytes";
+        return nullptr;
+    }
+    auto implementation
+        = std::make_unique<Implementation>(std::move(settings), std::move(handlers));
+    try {
+        implementation->bind(*listen);
+    } catch (const std::exception &exception) {
+        *error = "can't listen on " + listen->host + ":" + std::to_string(listen->port) + ": "
+            + exception.what();
+        return nullptr;
+    }
+    implementation->run();
+    return std::unique_ptr<PeerLinks>(new PeerLinks(std::move(implementation)));
+}
+
+std::string PeerLinks::address() const
+{
+    return implementation_->address();
+}
+
+void PeerLinks::connect(const std::string &address)
+{
+    implementation_->post([this, address] { implementation_->connect(address); });
+}
+
+void PeerLinks::replace(const std::string &address)
+{
+    implementation_->post([this, address] {
+        implementation_->drop(address);
+        implementation_->connect(address);
+    });
+}
+
+void PeerLinks::drop(const std::string &address)
+{
+    implementation_->post([this, address] { implementation_->drop(address); });
+}
+
+void PeerLinks::send(const std::string &address, std::string message)
+{
+    implementation_->post(
+        [this, address, message = std::move(message)] { implementation_->send(address, message); });
+}
+
+PeerLinkCounters PeerLinks::counters() const
+{
+    return implementation_->counters();
+}
+
+void PeerLinks::stop()
+{
+    implementation_->stop();
+}
+
+} // namespace endivequay
