--- a/config/include/endivequay/operators.h
+++ b/config/include/endivequay/operators.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <iosfwd>
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -130,14 +131,8 @@
     Result<Configuration> build(std::vector<Error> *errors = nullptr) const;
 
 private:
-    struct Block
-    {
-        std::string cidr;
-        std::string site;
-    };
-
     ConfigurationParts parts_;
-    std::vector<Block> blocks_;
+    std::map<std::string, std::vector<std::string>> blocks_; ///< Networks by site.
 };
 
 /// Writes the configuration to \a out, or every fault to \a faults. Returns the exit status.
--- /dev/null
+++ b/config/src/changes.cpp
@@ -0,0 +1,283 @@
+#include "endivequay/configuration.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace endivequay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double stepsPerCap = 8;
+
+// Room for the error of sums of binary fractions such as 0.1.
+constexpr double fractionTolerance = 1e-9;
+
+// Application up to 10 s apart and cached answers of 2 s (section 3.5 of the design page).
+constexpr Interval spreadOfStep = 12s;
+
+/// One put or delete.
+struct Step
+{
+    std::string name;
+    std::optional<std::string> text; ///< None deletes the document.
+};
+
+void addStep(DocumentChange &change, const Step &step)
+{
+    if (step.text)
+        change.puts[step.name] = *step.text;
+    else
+        change.deletes.insert(step.name);
+}
+
+/// Puts go from what others refer to, deletes the other way round.
+int rankOf(const Step &step)
+{
+    static constexpr std::array<std::string_view, 5> order { "regions", "services", "teams",
+        "upstreams", "blocks" };
+    const auto kind = step.name.substr(0, step.name.find('/'));
+    const int rank = static_cast<int>(std::ranges::find(order, kind) - order.begin());
+    return step.text ? rank : 10 - rank;
+}
+
+std::vector<Step> toSteps(const DocumentChange &change)
+{
+    std::vector<Step> steps;
+    for (const auto &[name, text] : change.puts)
+        steps.push_back({ name, text });
+    for (const std::string &name : change.deletes)
+        steps.push_back({ name, std::nullopt });
+    std::ranges::stable_sort(steps, {}, rankOf);
+    return steps;
+}
+
+template <class Part, class Key>
+void addMissing(std::vector<Part> &parts, const std::vector<Part> &others, Key key)
+{
+    for (const Part &other : others) {
+        const auto isSame = [&](const Part &part) { return key(part) == key(other); };
+        if (std::ranges::none_of(parts, isSame))
+            parts.push_back(other);
+    }
+}
+
+/// The text of a "regions" document that every document of both configurations can refer to.
+Result<std::string> unionOfRegions(const Configuration &from, const Configuration &to)
+{
+    const auto byId = [](const auto &part) { return part.id; };
+    const auto byPair = [](const auto &part) { return std::pair(part.a, part.b); };
+    Topology both = to.topology();
+    addMissing(both.regions, from.regions(), byId);
+    addMissing(both.domains, from.domains(), byId);
+    addMissing(both.sites, from.sites(), byId);
+    addMissing(both.regionDelays, from.topology().regionDelays, byPair);
+    addMissing(both.domainDelays, from.topology().domainDelays, byPair);
+    addMissing(both.links, from.topology().links, byPair);
+    const auto configuration = Configuration::fromParts({ both, {}, {}, {}, {} });
+    if (!configuration)
+        return configuration.lastReason();
+    return configuration->toDocuments().at("regions");
+}
+
+/// Takes steps off \a remaining in order, as many as lead from \a base to a valid configuration.
+DocumentChange takeValidSteps(
+    const Configuration &base, std::vector<Step> &remaining, std::size_t limit)
+{
+    DocumentChange change;
+    std::vector<Step> deferred;
+    for (Step &step : remaining) {
+        DocumentChange longer = change;
+        addStep(longer, step);
+        if (change.size() < limit && base.withChange(longer))
+            change = std::move(longer);
+        else
+            deferred.push_back(std::move(step));
+    }
+    remaining = std::move(deferred);
+    return change;
+}
+
+DocumentChange takeFirst(std::vector<Step> &remaining, std::size_t count)
+{
+    const auto end = remaining.begin() + static_cast<std::ptrdiff_t>(count);
+    DocumentChange change;
+    std::for_each(remaining.begin(), end, [&](const Step &step) { addStep(change, step); });
+    remaining.erase(remaining.begin(), end);
+    return change;
+}
+
+/// The next change from \a base; empty if there is none.
+DocumentChange takeChange(
+    const Configuration &base, std::vector<Step> &remaining, std::size_t limit)
+{
+    std::vector<Step> rest = remaining;
+    DocumentChange change = takeFirst(rest, std::min(limit, rest.size()));
+    if (!base.withChange(change))
+        return takeValidSteps(base, remaining, limit);
+    remaining = std::move(rest);
+    return change;
+}
+
+double shiftedFraction(const Service &service)
+{
+    return service.plannedShift ? service.plannedShift->fraction : 0;
+}
+
+bool sameDirection(const PlannedShift &a, const PlannedShift &b)
+{
+    return a.from == b.from && a.to == b.to;
+}
+
+void checkShiftStep(const Service &from, const Service &to, std::vector<Error> &errors)
+{
+    const std::string path = "services/" + to.id.value() + ".planned_shift";
+    const double before = shiftedFraction(from);
+    const double after = shiftedFraction(to);
+    if (before > 0 && after > 0 && !sameDirection(*from.plannedShift, *to.plannedShift)) {
+        errors.push_back({ "config.check", path,
+            "changes its regions while it is in force; take the fraction back to 0 first" });
+        return;
+    }
+    const double step = std::min(from.shiftCap.fraction, to.shiftCap.fraction) / stepsPerCap;
+    if (std::abs(after - before) > step + fractionTolerance)
+        errors.push_back({ "config.check", path + ".fraction",
+            fmt::format("moves from {} to {}, but one change may move it by {} (cap / 8); use "
+                        "\"endivequay shift\"",
+                before, after, step) });
+}
+
+void warnOfService(
+    const Configuration &configuration, const Service &service, std::vector<Error> &list)
+{
+    const std::string path = "services/" + service.id.value();
+    const auto warn = [&](std::string_view field, std::string reason) {
+        list.push_back({ "config.warning", path + std::string(field), std::move(reason) });
+    };
+    if (service.whenStale == WhenStale::Continue)
+        warn(".when_stale",
+            "gives up the 5 s bound on withdrawn keys and the order of raised and lowered limits "
+            "while a failure domain is cut off");
+    if (service.routes.empty())
+        warn(".routes", "has no route, so every request is refused");
+    if (service.shiftCap.fraction == 0)
+        warn(".shift_cap.fraction", "lets no request be served outside its home region");
+    const auto upstreams = configuration.upstreamsOf(service.id);
+    if (std::ranges::none_of(
+            upstreams, [](const Upstream *u) { return u->state == UpstreamState::Active; }))
+        warn("", "has no active upstream");
+}
+
+} // namespace
+
+DocumentChange diffDocuments(const Documents &from, const Documents &to)
+{
+    DocumentChange change;
+    for (const auto &[name, text] : to) {
+        const auto old = from.find(name);
+        if (old == from.end() || old->second != text)
+            change.puts.emplace(name, text);
+    }
+    for (const auto &[name, text] : from) {
+        if (!to.contains(name))
+            change.deletes.insert(name);
+    }
+    return change;
+}
+
+Result<std::vector<DocumentChange>> splitChanges(
+    const Documents &from, const Documents &to, std::size_t limit)
+{
+    const auto target = Configuration::fromDocuments(to);
+    if (!target)
+        return target.lastReason();
+    DocumentChange whole = diffDocuments(from, to);
+    if (whole.size() == 0)
+        return std::vector<DocumentChange> {};
+    if (whole.size() <= limit)
+        return std::vector { std::move(whole) };
+
+    auto base = Configuration::fromDocuments(from);
+    if (!base)
+        return base.lastReason();
+    std::vector<DocumentChange> changes;
+    const auto accept = [&](DocumentChange change) {
+        base = base->withChange(change);
+        changes.push_back(std::move(change));
+        return base.hasValue();
+    };
+    std::vector<Step> remaining = toSteps(whole);
+    if (whole.puts.contains("regions")) {
+        const auto both = unionOfRegions(*base, *target);
+        if (!both)
+            return both.lastReason();
+        if (!accept({ { { "regions", *both } }, {} }))
+            return base.lastReason();
+        std::ranges::rotate(remaining, remaining.begin() + 1);
+    }
+    while (!remaining.empty()) {
+        DocumentChange change = takeChange(*base, remaining, limit);
+        if (change.size() == 0)
+            return Error { "config.split", remaining.front().name,
+                fmt::format("cannot change apart from {} other documents, but a change has at most "
+                            "{}",
+                    remaining.size() - 1, limit) };
+        if (!accept(std::move(change)))
+            return base.lastReason();
+    }
+    return changes;
+}
+
+std::vector<Error> checkTransition(const Configuration &from, const Configuration &to)
+{
+    std::vector<Error> errors;
+    for (const Service &service : to.services()) {
+        if (const Service *old = from.service(service.id))
+            checkShiftStep(*old, service, errors);
+    }
+    return errors;
+}
+
+std::vector<Error> warnings(const Configuration &configuration)
+{
+    std::vector<Error> list;
+    for (const Region &region : configuration.regions()) {
+        if (!region.capacity)
+            list.push_back({ "config.warning", "regions/" + region.id.value(),
+                "has no capacity, so steering cannot protect it from overload" });
+    }
+    for (const Service &service : configuration.services())
+        warnOfService(configuration, service, list);
+    for (const Team &team : configuration.teams()) {
+        if (team.keys.empty())
+            list.push_back({ "config.warning", "teams/" + team.id.value(),
+                "has no key, so nobody can use it" });
+    }
+    return list;
+}
+
+Result<ShiftPlan> planShift(const Service &service, double target)
+{
+    const std::string path = "services/" + service.id.value();
+    if (!(target >= 0 && target <= 1))
+        return Error { "config.shift", path, "the fraction must be from 0 to 1" };
+    const double start = shiftedFraction(service);
+    const double step = service.shiftCap.fraction / stepsPerCap;
+    ShiftPlan plan { {}, (service.shiftCap.window + spreadOfStep) / 3 };
+    if (std::abs(target - start) <= fractionTolerance)
+        return plan;
+    if (step <= 0)
+        return Error { "config.shift", path + ".shift_cap.fraction", "is 0, so nothing may shift" };
+    const auto count
+        = static_cast<int>(std::ceil(std::abs(target - start) / step - fractionTolerance));
+    for (int i = 1; i < count; ++i)
+        plan.fractions.push_back(start + (target > start ? step : -step) * i);
+    plan.fractions.push_back(target);
+    return plan;
+}
+
+} // namespace endivequay
