--- /dev/null
+++ b/coordination/include/endivequay/messages.h
@@ -0,0 +1,141 @@
+#ifndef ENDIVEQUAY_MESSAGES_H
+#define ENDIVEQUAY_MESSAGES_H
+
+#include "endivequay/clock.h"
+#include "endivequay/configlog.h"
+#include "endivequay/events.h"
+#include "endivequay/types.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace endivequay {
+
+/// Participation of a member as it is told to others.
+enum class MemberState : std::uint8_t {
+    Serving,
+    Leaving,
+    Suspect ///< Unheard for 3 s by the node that reports it.
+};
+
+/// Who a member is. Fixed for the life of the process.
+struct MemberIdentity
+{
+    Incarnation incarnation;
+    /// Orders incarnations at one address: microseconds of the wall clock at process start.
+    std::uint64_t start = 0;
+    Address address;
+    FailureDomainId domain;
+
+    bool operator==(const MemberIdentity &) const = default;
+};
+
+/// Load of an instance for choices between peers.
+struct LoadSummary
+{
+    std::uint32_t inFlight = 0;
+    std::uint32_t slots = 0;
+    std::uint32_t queued = 0;
+
+    bool operator==(const LoadSummary &) const = default;
+};
+
+/// First message on an authenticated link.
+struct Hello
+{
+    HybridTime time;
+    MemberIdentity identity;
+
+    bool operator==(const Hello &) const = default;
+};
+
+/// Sent on each link once a second.
+struct Heartbeat
+{
+    HybridTime time;
+    Incarnation incarnation;
+    std::uint64_t sequence = 0;
+    MemberState state = MemberState::Serving;
+    Revision revision;
+    std::optional<Interval> confirmedAge; ///< Absent before the first confirmation.
+    LoadSummary load;
+    std::vector<Incarnation> syncPath; ///< See SyncSource::path().
+
+    bool operator==(const Heartbeat &) const = default;
+};
+
+/// A StoreSilence in transit: ages at the time of sending instead of instants.
+struct SilenceReport
+{
+    FailureDomainId domain;
+    Revision revision;
+    Interval sinceAge {};
+    Interval asOfAge {};
+
+    bool operator==(const SilenceReport &) const = default;
+};
+
+/// Answer to a heartbeat on the same link.
+struct HeartbeatEcho
+{
+    Incarnation incarnation; ///< Of the answering member.
+    std::uint64_t sequence = 0; ///< Of the heartbeat that is answered.
+    std::vector<SilenceReport> silences;
+
+    bool operator==(const HeartbeatEcho &) const = default;
+};
+
+/// Asks a peer for the changes since a revision.
+struct ConfigPull
+{
+    std::uint64_t number = 0; ///< Repeated in the reply, which finds the send time by it.
+    Incarnation incarnation;
+    Revision revision;
+    std::optional<SnapshotCursor> cursor;
+
+    bool operator==(const ConfigPull &) const = default;
+};
+
+/// Answer to a ConfigPull.
+struct ConfigReply
+{
+    HybridTime time;
+    std::uint64_t number = 0;
+    Incarnation incarnation;
+    Revision revision; ///< That the source has applied; its confirmation is for this revision.
+    std::optional<Interval> confirmedAge;
+    std::vector<Incarnation> syncPath;
+    std::vector<SilenceReport> silences;
+    ConfigUpdate update;
+};
+
+/// What a node knows about one member.
+struct DigestEntry
+{
+    MemberIdentity identity;
+    std::uint64_t sequence = 0; ///< Of the latest heartbeat that anybody has heard.
+    MemberState state = MemberState::Serving;
+    Interval heardAge {}; ///< Since that heartbeat was heard.
+
+    bool operator==(const DigestEntry &) const = default;
+};
+
+/// A part of the sender's membership view.
+struct MemberDigest
+{
+    Incarnation incarnation; ///< Of the sender.
+    std::vector<DigestEntry> entries;
+
+    bool operator==(const MemberDigest &) const = default;
+};
+
+/// Every message of a peer link. A further type needs an alternative here and a schema in
+/// codec.cpp.
+using Message
+    = std::variant<Hello, Heartbeat, HeartbeatEcho, ConfigPull, ConfigReply, MemberDigest>;
+
+} // namespace endivequay
+
+#endif
