Rename types of state that clash with another package

Cause: packages share one namespace; equal names with different layouts break the one-definition rule. Change: names only. Conclusion: all packages can be linked into one binary.

--- a/coordination/include/endivequay/operations.h
+++ b/coordination/include/endivequay/operations.h
@@ -109,7 +109,7 @@
 };
 
 /// The id belongs to another instance, which alone may run it.
-struct PassOn
+struct PassToIssuer
 {
     Incarnation issuer;
     Address address;
@@ -122,7 +122,7 @@
     OperationRefusal reason = OperationRefusal::Malformed;
 };
 
-using BeginDecision = std::variant<RunNow, WaitForCopy, Replay, PassOn, RefuseOperation>;
+using BeginDecision = std::variant<RunNow, WaitForCopy, Replay, PassToIssuer, RefuseOperation>;
 
 /// Who gets the answer of a finished operation besides the copy that ran it.
 struct FinishedOperation
