Implement operations, configuration log, freshness, membership and the codec

Cause: the daemon needs the state machines and the messages of peer links. Change: implementations behind the headers; silence reports carry the reader and both ages, so that two domains agree only on an instant at which both were silent; codec tests and a fuzz target.

--- a/coordination/include/endivequay/configlog.h
+++ b/coordination/include/endivequay/configlog.h
@@ -39,6 +39,7 @@
 /// Effect of a change or snapshot on a ConfigLog.
 enum class ApplyResult : std::uint8_t {
     Applied,
+    Partial, ///< Part of a snapshot was stored; the revision is unchanged.
     AlreadyKnown, ///< The log has this revision or a higher one; nothing was changed.
     Gap ///< The change is based on a revision that the log has not seen; a snapshot is needed.
 };
@@ -192,14 +193,17 @@
     /// A pull failed, or the reply was refused.
     void failed(const Incarnation &source, Instant now);
 
+    /// Gives up the source, for a reader that the store answers.
+    void clear();
+
     std::optional<Incarnation> current() const { return current_; }
     /// Own path as sent in replies and heartbeats: the source, its source and so on.
     std::vector<Incarnation> path() const;
 
 private:
-    bool eligible(const SyncSelf &self, const SyncCandidate &candidate, Instant now) const;
+    bool loopFree(const SyncSelf &self, const SyncCandidate &candidate) const;
+    bool eligible(const SyncSelf &self, const SyncCandidate &candidate) const;
     bool mayKeep(const SyncSelf &self, const SyncCandidate &candidate, Instant now) const;
-    void drop();
 
     SyncSettings settings_;
     std::optional<Incarnation> current_;
--- a/coordination/include/endivequay/freshness.h
+++ b/coordination/include/endivequay/freshness.h
@@ -16,13 +16,15 @@
 /// What a service does on keyed routes while the configuration is not confirmed.
 enum class WhenStale : std::uint8_t { Refuse, Continue };
 
-/// Report of a reader in the store's region that the store does not answer.
-struct StoreSilence
+/// Report of a reader in the store's region that the store does not answer, as told to peers.
+struct SilenceReport
 {
-    FailureDomainId domain; ///< Of the reader.
+    Incarnation reader;
     Revision revision; ///< Highest revision that the reader has applied.
-    Instant since; ///< Start of its first unanswered read, own clock of the holder.
-    Instant asOf; ///< Start of its latest unanswered read.
+    Interval sinceAge {}; ///< Since the start of its first unanswered read.
+    Interval asOfAge {}; ///< Since the start of its latest unanswered read.
+
+    bool operator==(const SilenceReport &) const = default;
 };
 
 /// Freshness of a node for events and status.
@@ -37,7 +39,7 @@
 {
     Interval keyedLimit = std::chrono::seconds(4);
     /// A read without a response after this time counts as unanswered.
-    Interval readTimeout = std::chrono::milliseconds(800);
+    Interval readTimeout = std::chrono::milliseconds(300);
     /// Silence reports older than this are not used.
     Interval evidenceAge = std::chrono::seconds(3);
     /// Relayed ages grow by this divisor's fraction: clocks may drift apart by 0.1 percent.
@@ -59,24 +61,24 @@
     /// A linearizable read of the head that started at \a readStarted returned \a revision.
     void storeAnswered(Instant readStarted, Revision revision);
     /// A read that started at \a readStarted has no response at \a now. Only for readers in the
-    /// store's region; \a domain is their own.
-    void storeUnanswered(const FailureDomainId &domain, Instant readStarted, Instant now);
+    /// store's region; \a reader is this node.
+    void storeUnanswered(const Incarnation &reader, Instant readStarted, Instant now);
 
     /// A peer that was asked at \a sent answered that it holds \a revision, confirmed \a age ago.
     void peerAnswered(Instant sent, Interval age, Revision revision);
-    /// A peer relayed a report; \a report has instants of this node's clock, from the send time of
-    /// the question and the ages in the answer (see relayed()).
-    void silenceReported(const StoreSilence &report);
-    /// Instant that is certainly not after the event that was \a age old in the answer to a
-    /// question sent at \a sent.
-    Instant relayed(Instant sent, Interval age) const;
+    /// A peer that was asked at \a sent relayed a report, which arrived at \a now.
+    void silenceReported(const SilenceReport &report, Instant sent, Instant now);
 
-    /// Applies the silence rule: all of \a domains, the failure domains of the store's region that
-    /// have members, report silence at a common instant. Call on nodes of the store's region.
-    void agreeOnSilence(const std::set<FailureDomainId> &domains, Instant now);
+    /// Applies the silence rule: all of \a readers, those of every failure domain of the store's
+    /// region that has members (Membership::readersOf()), report silence at a common instant.
+    ///
+    /// Call on nodes of the store's region. A change that the store accepted after the last
+    /// answered read and before it fell silent is not known to anybody and stays unseen until it
+    /// answers.
+    void agreeOnSilence(const std::set<Incarnation> &readers, Instant now);
 
     /// Instant at which the applied configuration was known to be the latest.
-    std::optional<Instant> confirmedAsOf() const { return confirmedAsOf_; }
+    std::optional<Instant> confirmedAsOf() const;
     /// Age of the confirmation, to be sent to peers.
     std::optional<Interval> age(Instant now) const;
     /// Whether keyed routes of a service are served. Never before the first confirmation.
@@ -85,7 +87,7 @@
     /// The state if it changed since the last call.
     std::optional<FreshnessState> stateChange(Instant now);
     /// Usable reports, own one included, for relaying.
-    std::vector<StoreSilence> silences(Instant now) const;
+    std::vector<SilenceReport> silences(Instant now) const;
 
 private:
     struct Confirmation
@@ -93,16 +95,22 @@
         Instant asOf;
         bool bySilence = false;
     };
+    struct Silence
+    {
+        Revision revision;
+        Instant since; ///< Not before the true instant.
+        Instant asOf; ///< Not after the true instant.
+    };
 
     void confirm(Revision revision, Confirmation confirmation);
 
     FreshnessSettings settings_;
     Revision applied_;
-    std::optional<Instant> confirmedAsOf_;
-    bool confirmedBySilence_ = false;
+    std::optional<Confirmation> confirmed_;
     /// Confirmations of revisions that are not applied yet.
     std::map<Revision, Confirmation> pending_;
-    std::map<FailureDomainId, StoreSilence> silences_;
+    std::map<Incarnation, Silence> silences_;
+    std::optional<Incarnation> ownReader_;
     std::optional<Instant> lastAnsweredRead_;
     FreshnessState reported_ = FreshnessState::Unconfirmed;
 };
--- a/coordination/include/endivequay/membership.h
+++ b/coordination/include/endivequay/membership.h
@@ -35,6 +35,7 @@
     LoadSummary load;
     std::vector<Incarnation> syncPath;
     std::optional<Instant> heardAt; ///< By anybody, as far as known here.
+    std::optional<Instant> firstKnownAt; ///< When this node learned of the incarnation.
     bool direct = false; ///< Heard over an own link.
     bool suspect = false;
     bool listed = false;
@@ -70,8 +71,10 @@
     /// Members without an own link are refreshed by rotating digests, about once a minute.
     Interval remoteSuspicion = std::chrono::seconds(180);
     /// Ended and unlisted members are forgotten after this time.
-    Interval retention = std::chrono::minutes(15);
-    std::size_t digestEntries = 32;
+    /// Long, because the ledger may name them until the store is writable again.
+    Interval retention = std::chrono::hours(24);
+    std::size_t digestEntries = 64; ///< Most entries of one digest.
+    std::size_t rotatingEntries = 32; ///< Unchanged entries that fill up a digest.
     std::size_t maxMembers = 10'000;
 };
 
@@ -119,13 +122,18 @@
     std::optional<Incarnation> keeper(const FailureDomainId &domain) const;
     bool isReader() const;
 
-    /// Failure domains of \a region that have members, suspect ones included.
+    /// Failure domains of \a region that have members: listed or heard, suspect ones included.
     std::set<FailureDomainId> domainsWithMembers(const RegionId &region) const;
+    /// Readers of all domainsWithMembers(); empty if one of these domains has no usable reader.
+    std::set<Incarnation> readersOf(const RegionId &region) const;
     std::optional<RegionId> regionOf(const FailureDomainId &domain) const;
     Proximity proximity(const FailureDomainId &domain) const;
     /// Usable members with an own link, for SyncSource.
     std::vector<SyncCandidate> syncCandidates() const;
-    EndEvidence evidence(const Incarnation &incarnation, const Address &address) const;
+    /// Evidence about the end of an incarnation that was bound to \a address. With its \a start, as
+    /// in MemberIdentity, a replacement is seen even if this node never knew the incarnation.
+    EndEvidence evidence(
+        const Incarnation &incarnation, const Address &address, std::uint64_t start = 0) const;
 
     /// Addresses to which this node keeps a link: its own domain, and for readers one instance of
     /// every other domain of the region and one of every other region.
@@ -133,6 +141,8 @@
     /// A link to \a address is open; it was opened at \a now.
     void linkOpened(const Address &address, Instant now);
     void linkClosed(const Address &address);
+    /// An unused link was closed on purpose: the member is not expected to be heard any more.
+    void linkReleased(const Address &address);
     /// Links without a heartbeat for 3 s, which are to be replaced. Each is proposed again after a
     /// further 3 s if it stays silent.
     std::vector<Address> silentLinks(Instant now);
@@ -144,45 +154,49 @@
     {
         Member member;
         std::uint64_t rank = 0; ///< Rendezvous hash in its own domain.
-        std::uint64_t changed = 0; ///< Value of changes_ at the last change worth telling.
+        std::uint64_t changed = 0; ///< Key in changed_, 0 if there is none.
+        std::uint64_t directSequence = 0;
+        std::optional<Instant> directHeardAt;
     };
     struct Link
     {
         Instant heardAt;
+        Instant proposedAt;
         std::uint64_t sentChanges = 0;
     };
     struct Past
     {
-        Address address;
         std::optional<Instant> heardAt;
-        std::optional<Instant> replacedAt;
-        Instant forgetAt;
+        Instant replacedAt;
     };
+    using Members = std::map<Address, Entry>;
 
     Entry *entryOf(const Incarnation &incarnation);
     Entry *adopt(const MemberIdentity &identity, Instant now);
-    void replace(Entry &entry, const MemberIdentity &identity, Instant now);
-    void place(Entry &entry, const FailureDomainId &domain);
+    void identify(Entry &entry, const MemberIdentity &identity, Instant now);
+    Entry &create(const Address &address, const FailureDomainId &domain);
     void touch(Entry &entry);
     void setSuspect(Entry &entry, bool suspect);
     void setState(Entry &entry, MemberState state);
     void merge(const DigestEntry &news, Instant now);
-    void mergeKnown(Entry &entry, const DigestEntry &news, Instant heardAt);
-    void erase(const Address &address);
-    bool mayForget(const Entry &entry, Instant now) const;
-    DigestEntry digestEntry(const Entry &entry, Instant now) const;
-    void addRotating(MemberDigest &digest, Instant now);
-    bool turnOf(const Address &peer, Instant now) const;
-    std::vector<std::pair<std::uint64_t, Incarnation>> ranks(const FailureDomainId &domain) const;
+    void mergeState(Entry &entry, const DigestEntry &news);
+    Members::iterator erase(Members::iterator entry);
+    bool silent(const Entry &entry, Instant now) const;
+    bool forgettable(const Entry &entry, Instant now) const;
+    static DigestEntry digestEntry(const Entry &entry, Instant now);
+    void addRotating(MemberDigest &digest, const Address &peer, Instant now);
+    bool isTurnOf(const Address &peer, Instant now) const;
     std::optional<Address> representative(const std::vector<FailureDomainId> &domains) const;
+    void report(MemberEvent::Kind kind, const Entry &entry);
 
     const MemberIdentity self_;
     const MembershipSettings settings_;
     MemberState ownState_ = MemberState::Serving;
     std::map<FailureDomainId, RegionId> regions_;
-    std::map<Address, Entry> members_;
+    Members members_;
     std::unordered_map<Incarnation, Address> addressOf_;
     std::map<FailureDomainId, std::set<Address>> byDomain_;
+    /// Incarnations that were replaced at their address.
     std::unordered_map<Incarnation, Past> past_;
     /// Addresses that the list has shown and shows no more.
     std::map<Address, Instant> unlistedAt_;
--- a/coordination/include/endivequay/messages.h
+++ b/coordination/include/endivequay/messages.h
@@ -4,6 +4,7 @@
 #include "endivequay/clock.h"
 #include "endivequay/configlog.h"
 #include "endivequay/events.h"
+#include "endivequay/freshness.h"
 #include "endivequay/types.h"
 
 #include <cstdint>
@@ -66,17 +67,6 @@
     bool operator==(const Heartbeat &) const = default;
 };
 
-/// A StoreSilence in transit: ages at the time of sending instead of instants.
-struct SilenceReport
-{
-    FailureDomainId domain;
-    Revision revision;
-    Interval sinceAge {};
-    Interval asOfAge {};
-
-    bool operator==(const SilenceReport &) const = default;
-};
-
 /// Answer to a heartbeat on the same link.
 struct HeartbeatEcho
 {
--- a/coordination/include/endivequay/operations.h
+++ b/coordination/include/endivequay/operations.h
@@ -108,7 +108,8 @@
     std::shared_ptr<const OperationAnswer> answer;
 };
 
-/// The id belongs to another instance, which alone may run it.
+/// The id belongs to another instance, which alone may run it. Both values come unverified from the
+/// caller: pass on only to a member that is known by them.
 struct PassOn
 {
     Incarnation issuer;
--- /dev/null
+++ b/coordination/src/membership.cpp
@@ -0,0 +1,572 @@
+#include "endivequay/membership.h"
+
+#include "endivequay/digest.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace endivequay {
+
+namespace {
+
+// Node of a std::map or std::unordered_map without its value.
+constexpr std::size_t nodeBytes = 48;
+// Further events are dropped; the daemon takes them several times a second.
+constexpr std::size_t maxEvents = 10'000;
+
+std::size_t heapBytes(const std::string &text)
+{
+    return text.capacity() > sizeof(std::string) / 2 ? text.capacity() + 1 : 0;
+}
+
+std::uint64_t rendezvous(const FailureDomainId &domain, const Incarnation &incarnation)
+{
+    return hash64(domain.value(), incarnation.value());
+}
+
+} // namespace
+
+bool Member::usable() const
+{
+    return identity.incarnation != Incarnation() && heardAt && !suspect
+        && state == MemberState::Serving;
+}
+
+Membership::Membership(MemberIdentity self, MembershipSettings settings)
+    : self_(std::move(self))
+    , settings_(settings)
+{ }
+
+void Membership::setRegions(std::map<FailureDomainId, RegionId> regions)
+{
+    regions_ = std::move(regions);
+}
+
+void Membership::listed(const std::vector<ListedInstance> &instances, Instant now)
+{
+    std::set<Address> shown;
+    for (const auto &instance : instances) {
+        if (instance.address == self_.address)
+            continue;
+        shown.insert(instance.address);
+        unlistedAt_.erase(instance.address);
+        auto found = members_.find(instance.address);
+        if (found == members_.end() && members_.size() >= settings_.maxMembers)
+            continue;
+        auto &member = found == members_.end() ? create(instance.address, instance.domain).member
+                                               : found->second.member;
+        member.listed = true;
+        member.listedLeaving = instance.leaving;
+    }
+    for (auto &[address, entry] : members_) {
+        if (entry.member.listed && !shown.contains(address)) {
+            entry.member.listed = false;
+            unlistedAt_.emplace(address, now);
+        }
+    }
+}
+
+bool Membership::greeted(const MemberIdentity &identity, Instant now)
+{
+    Entry *entry = adopt(identity, now);
+    if (entry == nullptr)
+        return false;
+    entry->member.direct = true;
+    entry->directHeardAt = now;
+    entry->member.heardAt = now;
+    setSuspect(*entry, false);
+    return true;
+}
+
+bool Membership::heard(const Heartbeat &heartbeat, Instant now)
+{
+    Entry *entry = entryOf(heartbeat.incarnation);
+    if (entry == nullptr)
+        return false;
+    // A replaced connection may still deliver older heartbeats.
+    if (heartbeat.sequence <= entry->directSequence)
+        return true;
+    Member &member = entry->member;
+    entry->directSequence = heartbeat.sequence;
+    entry->directHeardAt = now;
+    member.sequence = std::max(member.sequence, heartbeat.sequence);
+    member.heardAt = now;
+    member.direct = true;
+    member.revision = heartbeat.revision;
+    member.confirmedAsOf.reset();
+    if (heartbeat.confirmedAge)
+        member.confirmedAsOf = now - *heartbeat.confirmedAge;
+    member.load = heartbeat.load;
+    member.syncPath = heartbeat.syncPath;
+    setSuspect(*entry, false);
+    setState(*entry, heartbeat.state);
+    if (const auto link = links_.find(member.identity.address); link != links_.end())
+        link->second.heardAt = now;
+    return true;
+}
+
+void Membership::left(const Incarnation &incarnation, Instant now)
+{
+    Entry *entry = entryOf(incarnation);
+    if (entry == nullptr)
+        return;
+    setState(*entry, MemberState::Leaving);
+    entry->member.heardAt = now;
+    report(MemberEvent::Kind::Left, *entry);
+}
+
+void Membership::digestReceived(const MemberDigest &digest, Instant now)
+{
+    for (const auto &news : digest.entries)
+        merge(news, now);
+}
+
+void Membership::merge(const DigestEntry &news, Instant now)
+{
+    Entry *entry = adopt(news.identity, now);
+    if (entry == nullptr)
+        return;
+    Member &member = entry->member;
+    const Instant heardAt = now - news.heardAge;
+    const bool outdated = news.state == MemberState::Suspect && member.direct && !member.suspect
+        && member.heardAt && *member.heardAt > heardAt;
+    // Tells the domain that the member is heard here, so that nobody takes it for ended.
+    if (outdated && member.identity.domain == self_.domain)
+        touch(*entry);
+    member.heardAt = std::max(member.heardAt.value_or(heardAt), heardAt);
+    mergeState(*entry, news);
+}
+
+void Membership::mergeState(Entry &entry, const DigestEntry &news)
+{
+    Member &member = entry.member;
+    const bool newer = news.sequence > member.sequence;
+    const bool suspected = news.state == MemberState::Suspect;
+    if (!suspected)
+        setState(entry, news.state);
+    if (!member.direct && (newer || (suspected && news.sequence == member.sequence)))
+        setSuspect(entry, suspected);
+    member.sequence = std::max(member.sequence, news.sequence);
+}
+
+void Membership::tick(Instant now)
+{
+    for (auto next = members_.begin(); next != members_.end();) {
+        Entry &entry = next->second;
+        if (entry.member.heardAt && silent(entry, now))
+            setSuspect(entry, true);
+        next = forgettable(entry, now) ? erase(next) : std::next(next);
+    }
+    std::erase_if(past_,
+        [&](const auto &entry) { return now - entry.second.replacedAt > settings_.retention; });
+    std::erase_if(unlistedAt_,
+        [&](const auto &entry) { return now - entry.second > 2 * settings_.retention; });
+}
+
+bool Membership::silent(const Entry &entry, Instant now) const
+{
+    if (entry.member.direct)
+        return now - entry.directHeardAt.value_or(now) >= settings_.suspicion;
+    return now - *entry.member.heardAt >= settings_.remoteSuspicion;
+}
+
+bool Membership::forgettable(const Entry &entry, Instant now) const
+{
+    const Member &member = entry.member;
+    if (member.listed)
+        return false;
+    return !member.heardAt || (member.suspect && now - *member.heardAt > settings_.retention);
+}
+
+void Membership::setLeaving()
+{
+    ownState_ = MemberState::Leaving;
+}
+
+std::vector<MemberEvent> Membership::takeEvents()
+{
+    return std::exchange(events_, {});
+}
+
+void Membership::report(MemberEvent::Kind kind, const Entry &entry)
+{
+    if (events_.size() < maxEvents)
+        events_.push_back({ kind, entry.member.identity });
+}
+
+Membership::Entry *Membership::entryOf(const Incarnation &incarnation)
+{
+    const auto address = addressOf_.find(incarnation);
+    return address == addressOf_.end() ? nullptr : &members_.at(address->second);
+}
+
+Membership::Entry *Membership::adopt(const MemberIdentity &identity, Instant now)
+{
+    const bool own = identity.address == self_.address || identity.incarnation == self_.incarnation;
+    if (own || identity.incarnation == Incarnation() || past_.contains(identity.incarnation))
+        return nullptr;
+    if (Entry *known = entryOf(identity.incarnation))
+        return known->member.identity.address == identity.address ? known : nullptr;
+
+    const auto found = members_.find(identity.address);
+    if (found == members_.end()) {
+        if (members_.size() >= settings_.maxMembers)
+            return nullptr;
+        Entry &entry = create(identity.address, identity.domain);
+        identify(entry, identity, now);
+        return &entry;
+    }
+    Entry &entry = found->second;
+    const MemberIdentity old = entry.member.identity;
+    if (old.incarnation != Incarnation()) {
+        if (std::tuple(identity.start, identity.incarnation)
+            < std::tuple(old.start, old.incarnation))
+            return nullptr;
+        report(MemberEvent::Kind::Replaced, entry);
+        past_.emplace(old.incarnation, Past { entry.member.heardAt, now });
+        addressOf_.erase(old.incarnation);
+    }
+    identify(entry, identity, now);
+    return &entry;
+}
+
+void Membership::identify(Entry &entry, const MemberIdentity &identity, Instant now)
+{
+    Member fresh;
+    fresh.identity = identity;
+    fresh.firstKnownAt = now;
+    fresh.listed = entry.member.listed;
+    fresh.listedLeaving = entry.member.listedLeaving;
+    byDomain_[entry.member.identity.domain].erase(identity.address);
+    byDomain_[identity.domain].insert(identity.address);
+    addressOf_[identity.incarnation] = identity.address;
+    entry.member = std::move(fresh);
+    entry.rank = rendezvous(identity.domain, identity.incarnation);
+    entry.directSequence = 0;
+    entry.directHeardAt.reset();
+    touch(entry);
+    report(MemberEvent::Kind::Joined, entry);
+}
+
+Membership::Entry &Membership::create(const Address &address, const FailureDomainId &domain)
+{
+    Entry &entry = members_[address];
+    entry.member.identity.address = address;
+    entry.member.identity.domain = domain;
+    byDomain_[domain].insert(address);
+    return entry;
+}
+
+Membership::Members::iterator Membership::erase(Members::iterator entry)
+{
+    const MemberIdentity &identity = entry->second.member.identity;
+    changed_.erase(entry->second.changed);
+    addressOf_.erase(identity.incarnation);
+    const auto domain = byDomain_.find(identity.domain);
+    domain->second.erase(identity.address);
+    if (domain->second.empty())
+        byDomain_.erase(domain);
+    return members_.erase(entry);
+}
+
+void Membership::touch(Entry &entry)
+{
+    changed_.erase(entry.changed);
+    entry.changed = ++changes_;
+    changed_.emplace(entry.changed, entry.member.identity.address);
+}
+
+void Membership::setSuspect(Entry &entry, bool suspect)
+{
+    if (entry.member.suspect == suspect)
+        return;
+    entry.member.suspect = suspect;
+    touch(entry);
+    report(suspect ? MemberEvent::Kind::Suspected : MemberEvent::Kind::Recovered, entry);
+}
+
+void Membership::setState(Entry &entry, MemberState state)
+{
+    // An incarnation that leaves never serves again.
+    if (entry.member.state == state || entry.member.state == MemberState::Leaving
+        || state == MemberState::Suspect)
+        return;
+    entry.member.state = state;
+    touch(entry);
+}
+
+MemberDigest Membership::digestFor(const Address &peer, Instant now)
+{
+    MemberDigest digest { self_.incarnation, {} };
+    const auto link = links_.find(peer);
+    if (link == links_.end())
+        return digest;
+    auto next = changed_.upper_bound(link->second.sentChanges);
+    for (; next != changed_.end() && digest.entries.size() < settings_.digestEntries; ++next) {
+        link->second.sentChanges = next->first;
+        if (next->second != peer)
+            digest.entries.push_back(digestEntry(members_.at(next->second), now));
+    }
+    if (isTurnOf(peer, now))
+        addRotating(digest, peer, now);
+    return digest;
+}
+
+DigestEntry Membership::digestEntry(const Entry &entry, Instant now)
+{
+    const Member &member = entry.member;
+    return { member.identity, member.sequence, member.suspect ? MemberState::Suspect : member.state,
+        std::max(Interval(0), now - member.heardAt.value_or(now)) };
+}
+
+bool Membership::isTurnOf(const Address &peer, Instant now) const
+{
+    const auto second = std::chrono::floor<std::chrono::seconds>(now.time_since_epoch()).count();
+    return std::next(links_.begin(), second % static_cast<std::ptrdiff_t>(links_.size()))->first
+        == peer;
+}
+
+void Membership::addRotating(MemberDigest &digest, const Address &peer, Instant now)
+{
+    auto next = members_.upper_bound(rotation_);
+    for (std::size_t seen = 0; seen < members_.size(); ++seen) {
+        if (digest.entries.size() >= settings_.rotatingEntries)
+            return;
+        if (next == members_.end())
+            next = members_.begin();
+        rotation_ = next->first;
+        const Member &member = next->second.member;
+        if (member.heardAt && !member.suspect && next->first != peer)
+            digest.entries.push_back(digestEntry(next->second, now));
+        ++next;
+    }
+}
+
+const Member *Membership::find(const Incarnation &incarnation) const
+{
+    const auto address = addressOf_.find(incarnation);
+    return address == addressOf_.end() ? nullptr : &members_.at(address->second).member;
+}
+
+const Member *Membership::at(const Address &address) const
+{
+    const auto found = members_.find(address);
+    return found == members_.end() ? nullptr : &found->second.member;
+}
+
+std::vector<const Member *> Membership::members() const
+{
+    std::vector<const Member *> all;
+    all.reserve(members_.size());
+    for (const auto &[address, entry] : members_)
+        all.push_back(&entry.member);
+    return all;
+}
+
+std::vector<const Member *> Membership::membersOf(const FailureDomainId &domain) const
+{
+    std::vector<const Member *> some;
+    const auto found = byDomain_.find(domain);
+    if (found == byDomain_.end())
+        return some;
+    for (const auto &address : found->second)
+        some.push_back(&members_.at(address).member);
+    return some;
+}
+
+std::vector<Incarnation> Membership::readers(const FailureDomainId &domain) const
+{
+    std::vector<std::pair<std::uint64_t, Incarnation>> ranks;
+    if (domain == self_.domain && ownState_ == MemberState::Serving)
+        ranks.emplace_back(rendezvous(domain, self_.incarnation), self_.incarnation);
+    if (const auto found = byDomain_.find(domain); found != byDomain_.end()) {
+        for (const auto &address : found->second) {
+            const Entry &entry = members_.at(address);
+            if (entry.member.usable())
+                ranks.emplace_back(entry.rank, entry.member.identity.incarnation);
+        }
+    }
+    const std::size_t count = std::min<std::size_t>(2, ranks.size());
+    std::partial_sort(
+        ranks.begin(), ranks.begin() + static_cast<std::ptrdiff_t>(count), ranks.end());
+    std::vector<Incarnation> lowest;
+    for (std::size_t i = 0; i < count; ++i)
+        lowest.push_back(ranks[i].second);
+    return lowest;
+}
+
+std::optional<Incarnation> Membership::keeper(const FailureDomainId &domain) const
+{
+    const auto lowest = readers(domain);
+    return lowest.empty() ? std::nullopt : std::optional(lowest.front());
+}
+
+bool Membership::isReader() const
+{
+    const auto lowest = readers(self_.domain);
+    return std::ranges::find(lowest, self_.incarnation) != lowest.end();
+}
+
+std::set<FailureDomainId> Membership::domainsWithMembers(const RegionId &region) const
+{
+    const auto present = [](const Member *member) {
+        return member->listed || (member->heardAt && !member->suspect);
+    };
+    std::set<FailureDomainId> domains;
+    if (regionOf(self_.domain) == region)
+        domains.insert(self_.domain);
+    for (const auto &[domain, addresses] : byDomain_) {
+        if (regionOf(domain) == region && std::ranges::any_of(membersOf(domain), present))
+            domains.insert(domain);
+    }
+    return domains;
+}
+
+std::set<Incarnation> Membership::readersOf(const RegionId &region) const
+{
+    std::set<Incarnation> all;
+    for (const auto &domain : domainsWithMembers(region)) {
+        const auto lowest = readers(domain);
+        if (lowest.empty())
+            return {};
+        all.insert(lowest.begin(), lowest.end());
+    }
+    return all;
+}
+
+std::optional<RegionId> Membership::regionOf(const FailureDomainId &domain) const
+{
+    const auto found = regions_.find(domain);
+    return found == regions_.end() ? std::nullopt : std::optional(found->second);
+}
+
+Proximity Membership::proximity(const FailureDomainId &domain) const
+{
+    if (domain == self_.domain)
+        return Proximity::OwnDomain;
+    const auto region = regionOf(domain);
+    return region && region == regionOf(self_.domain) ? Proximity::OwnRegion : Proximity::Remote;
+}
+
+std::vector<SyncCandidate> Membership::syncCandidates() const
+{
+    std::vector<SyncCandidate> candidates;
+    for (const auto &[address, link] : links_) {
+        const Member *member = at(address);
+        if (member != nullptr && member->direct && member->usable())
+            candidates.push_back({ member->identity.incarnation, proximity(member->identity.domain),
+                member->revision, member->confirmedAsOf, member->syncPath });
+    }
+    return candidates;
+}
+
+EndEvidence Membership::evidence(
+    const Incarnation &incarnation, const Address &address, std::uint64_t start) const
+{
+    EndEvidence evidence;
+    if (const auto gone = unlistedAt_.find(address); gone != unlistedAt_.end())
+        evidence.unlistedAt = gone->second;
+    if (const auto past = past_.find(incarnation); past != past_.end()) {
+        evidence.replacedAt = past->second.replacedAt;
+        evidence.heardAt = past->second.heardAt;
+    }
+    const Member *present = at(address);
+    if (present == nullptr)
+        return evidence;
+    if (present->identity.incarnation == incarnation)
+        evidence.heardAt = present->heardAt;
+    else if (start != 0 && present->identity.start > start && !evidence.replacedAt)
+        evidence.replacedAt = present->firstKnownAt;
+    return evidence;
+}
+
+std::vector<Address> Membership::peersToConnect() const
+{
+    std::vector<Address> peers;
+    for (const Member *member : membersOf(self_.domain)) {
+        if (member->listed || !member->suspect)
+            peers.push_back(member->identity.address);
+    }
+    if (!isReader())
+        return peers;
+    const auto ownRegion = regionOf(self_.domain);
+    std::map<RegionId, std::vector<FailureDomainId>> domainsOf;
+    for (const auto &[domain, region] : regions_) {
+        if (domain == self_.domain)
+            continue;
+        if (region != ownRegion)
+            domainsOf[region].push_back(domain);
+        else if (const auto peer = representative({ domain }))
+            peers.push_back(*peer);
+    }
+    for (const auto &[region, domains] : domainsOf) {
+        if (const auto peer = representative(domains))
+            peers.push_back(*peer);
+    }
+    return peers;
+}
+
+std::optional<Address> Membership::representative(const std::vector<FailureDomainId> &domains) const
+{
+    // The hash differs between the asking nodes, so that their links spread over the members.
+    using Rank = std::tuple<bool, std::uint64_t, Address>;
+    std::optional<Rank> best;
+    for (const auto &domain : domains) {
+        for (const Member *member : membersOf(domain)) {
+            if (member->suspect || (!member->listed && !member->usable()))
+                continue;
+            const Address &address = member->identity.address;
+            const Rank rank { member->state != MemberState::Serving || member->listedLeaving,
+                hash64(address.value(), self_.incarnation.value()), address };
+            if (!best || rank < *best)
+                best = rank;
+        }
+    }
+    return best ? std::optional(std::get<Address>(*best)) : std::nullopt;
+}
+
+void Membership::linkOpened(const Address &address, Instant now)
+{
+    links_[address] = { now, now, 0 };
+}
+
+void Membership::linkClosed(const Address &address)
+{
+    links_.erase(address);
+}
+
+void Membership::linkReleased(const Address &address)
+{
+    links_.erase(address);
+    if (const auto found = members_.find(address); found != members_.end())
+        found->second.member.direct = false;
+}
+
+std::vector<Address> Membership::silentLinks(Instant now)
+{
+    std::vector<Address> silentOnes;
+    for (auto &[address, link] : links_) {
+        if (now - std::max(link.heardAt, link.proposedAt) < settings_.suspicion)
+            continue;
+        link.proposedAt = now;
+        silentOnes.push_back(address);
+    }
+    return silentOnes;
+}
+
+std::size_t Membership::memoryBytes() const
+{
+    std::size_t bytes = past_.size() * (sizeof(Past) + nodeBytes)
+        + links_.size() * (sizeof(Link) + sizeof(Address) + nodeBytes)
+        + unlistedAt_.size() * (sizeof(Address) + sizeof(Instant) + nodeBytes);
+    for (const auto &[address, entry] : members_) {
+        // Keyed in four containers: members, domains, incarnations and changes.
+        bytes += sizeof(Entry) + 4 * (nodeBytes + sizeof(Address) + heapBytes(address.value()))
+            + heapBytes(entry.member.identity.domain.value())
+            + entry.member.syncPath.capacity() * sizeof(Incarnation);
+    }
+    return bytes;
+}
+
+} // namespace endivequay
--- /dev/null
+++ b/coordination/test/codec_test.cpp
@@ -0,0 +1,128 @@
+#include "proptest.h"
+
+#include "endivequay/codec.h"
+
+#include <random>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size);
+
+using namespace endivequay;
+using namespace std::chrono_literals;
+
+namespace {
+
+DocumentText text(std::string value)
+{
+    return std::make_shared<const std::string>(std::move(value));
+}
+
+std::vector<Message> samples()
+{
+    const MemberIdentity member { Incarnation(7), 1'700'000'000'000'000, Address("10.0.0.1:7400"),
+        FailureDomainId("gulf-1") };
+    const ConfigChange change { Revision(12), Revision(9), ChangeId("c1"),
+        { { "teams/a", text("{}") } }, { "teams/b" } };
+    const std::vector<SilenceReport> silences { { Incarnation(3), Revision(9), 2s, 1s } };
+    return { Hello { { 1, 2 }, member },
+        Heartbeat { { 5, 0 }, Incarnation(7), 4, MemberState::Leaving, Revision(12), 250ms,
+            { 1, 2, 3 }, { Incarnation(9) } },
+        Heartbeat {}, HeartbeatEcho { Incarnation(7), 4, silences },
+        ConfigPull { 3, Incarnation(7), Revision(12), SnapshotCursor { Revision(9), "teams/a" } },
+        ConfigReply {
+            {}, 3, Incarnation(7), Revision(12), 1ms, {}, silences, ConfigDelta { { change } } },
+        ConfigReply { {}, 3, Incarnation(7), Revision(12), {}, {}, {},
+            SnapshotPart { Revision(12), ChangeId("c1"), { { "a", text("x") } }, true, false } },
+        MemberDigest { Incarnation(7), { { member, 4, MemberState::Suspect, 3s } } } };
+}
+
+std::string reasonOf(std::string_view bytes)
+{
+    const auto message = decode(bytes);
+    return message ? "" : toString(message.lastReason());
+}
+
+/// \a bytes with the first \a from replaced by \a to.
+std::string replaced(std::string bytes, std::string_view from, std::string_view to)
+{
+    return bytes.replace(bytes.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_GROUP(Codec) {};
+
+// Guards against a field that is lost or altered in transit.
+TEST(Codec, EveryMessageSurvivesARoundTrip)
+{
+    for (const auto &message : samples()) {
+        const auto decoded = decode(encode(message));
+        CHECK(decoded.hasValue());
+        LONGS_EQUAL(message.index(), decoded.value()->index());
+        CHECK(encode(message) == encode(*decoded));
+    }
+    const auto heartbeat = std::get<Heartbeat>(samples()[1]);
+    CHECK(heartbeat == std::get<Heartbeat>(*decode(encode(heartbeat))));
+}
+
+// Guards against malformed input that is accepted or reported without its field.
+TEST(Codec, FaultsNameTheField)
+{
+    const std::string bytes = encode(samples()[1]);
+    const auto check = [](const char *expected, const std::string &input) {
+        STRCMP_CONTAINS(expected, reasonOf(input).c_str());
+    };
+    check("heartbeat.load.slots): is missing", replaced(bytes, "\x61s\x02", "\x61z\x02"));
+    check("kind): is unknown", replaced(bytes, "\x62hb", "\x62zz"));
+    check("heartbeat.sequence): is not an unsigned", replaced(bytes, "\x61n\x04", "\x61n\xf5"));
+    check("heartbeat.state): is out of range", replaced(bytes, "\x61s\x01", "\x61s\x17"));
+    check("bytes after the message", bytes + '\0');
+    check("message is cut", bytes.substr(0, bytes.size() - 1));
+    std::string more = replaced(bytes, "\x61k", "\x61z\x01\x61k");
+    ++more[0];
+    check("has an unknown field", more);
+    more = replaced(bytes, "\x61n\x04", "\x61n\x04\x61n\x04");
+    ++more[0];
+    check("a field is repeated", more);
+}
+
+// Guards against a peer that exhausts stack or memory with a short message.
+TEST(Codec, HostileStructureIsRejected)
+{
+    STRCMP_CONTAINS("too deep", reasonOf(std::string(1'000'000, '\x81')).c_str());
+    STRCMP_CONTAINS("cut", reasonOf("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff").c_str());
+    STRCMP_CONTAINS("not definite", reasonOf("\x9f\x01\xff").c_str());
+    STRCMP_CONTAINS("too large", reasonOf(std::string(maxMessageBytes + 1, '\x81')).c_str());
+}
+
+// Guards against a crash, an exception or an unstable round trip on altered messages.
+TEST(Codec, MutatedMessagesAreDecodedOrRejected)
+{
+    std::mt19937_64 random(20261204);
+    std::size_t accepted = 0;
+    for (int i = 0; i < 40'000; ++i) {
+        const auto all = samples();
+        std::string bytes = encode(all[random() % all.size()]);
+        for (auto changes = random() % 4; changes > 0; --changes) {
+            const std::size_t at = random() % bytes.size();
+            switch (random() % 4) {
+            case 0:
+                bytes[at] = static_cast<char>(random());
+                break;
+            case 1:
+                bytes[at] = static_cast<char>(bytes[at] ^ (1 << random() % 8));
+                break;
+            case 2:
+                bytes.insert(at, bytes.substr(random() % bytes.size(), random() % 16));
+                break;
+            default:
+                bytes.erase(at, 1 + random() % 8);
+                break;
+            }
+            if (bytes.empty())
+                break;
+        }
+        LLVMFuzzerTestOneInput(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+        accepted += decode(bytes).hasValue() ? 1 : 0;
+    }
+    CHECK(accepted > 10'000);
+}
