--- /dev/null
+++ b/transport/test/upstreamclient_test.cpp
@@ -0,0 +1,252 @@
+#include "scriptedserver.h"
+
+#include "endivequay/upstreamclient.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace endivequay;
+
+namespace {
+
+// No test waits for it: a call that only ends at this deadline stalls the test run visibly.
+Instant farDeadline()
+{
+    return SteadyClock().now() + std::chrono::minutes(10);
+}
+
+UpstreamRequest requestTo(const Address &address, RequestKind kind)
+{
+    UpstreamRequest request;
+    request.address = address;
+    request.method = "POST";
+    request.path = "/reserve";
+    request.body = "bale 7";
+    request.deadline = farDeadline();
+    request.kind = kind;
+    return request;
+}
+
+std::size_t runs(const ScriptedServer &server)
+{
+    std::size_t count = 0;
+    for (const Received &received : server.requests())
+        count += received.body == "bale 7" ? 1 : 0;
+    return count;
+}
+
+/// Answers requests without a body and closes on those with one.
+Reply closeOnBody(const Received &received)
+{
+    return received.body.empty() ? okReply("kept") : Reply { "", true };
+}
+
+void openKeptConnection(UpstreamClient &client, const Address &address)
+{
+    UpstreamRequest request = requestTo(address, RequestKind::Idempotent);
+    request.body.clear();
+    CHECK(client.send(request).outcome == UpstreamOutcome::Answered);
+    LONGS_EQUAL(1, client.idleConnections(address));
+}
+
+} // namespace
+
+TEST_GROUP(UpstreamClient)
+{
+    UpstreamClient client;
+};
+
+// Guards against libcurl resending a request by itself when a reused connection closes: a deposit
+// would be charged twice.
+TEST(UpstreamClient, ReusedConnectionThatClosesRunsTheRequestOnce)
+{
+    ScriptedServer server(closeOnBody);
+    openKeptConnection(client, server.address());
+    const auto response = client.send(requestTo(server.address(), RequestKind::Idempotent));
+    CHECK(response.outcome == UpstreamOutcome::Unknown);
+    CHECK(response.failure == UpstreamFailure::ReusedConnectionClosed);
+    LONGS_EQUAL(1, runs(server));
+    LONGS_EQUAL(0, client.idleConnections(server.address()));
+}
+
+// Guards against a once request on a kept connection, or one that claims an outcome after the
+// upstream ran it and closed.
+TEST(UpstreamClient, OnceRequestUsesAConnectionOfItsOwn)
+{
+    ScriptedServer server(closeOnBody);
+    openKeptConnection(client, server.address());
+    const auto response = client.send(requestTo(server.address(), RequestKind::Once));
+    CHECK(response.outcome == UpstreamOutcome::Unknown);
+    CHECK_FALSE(response.mayRetry(RequestKind::Once));
+    LONGS_EQUAL(1, runs(server));
+    LONGS_EQUAL(1, server.requests().back().connection);
+    LONGS_EQUAL(1, client.idleConnections(server.address()));
+}
+
+// Guards against an answered once request leaving its connection in the pool.
+TEST(UpstreamClient, OnceConnectionIsNotKept)
+{
+    ScriptedServer server([](const Received &) { return okReply("done"); });
+    const auto response = client.send(requestTo(server.address(), RequestKind::Once));
+    CHECK(response.outcome == UpstreamOutcome::Answered);
+    STRCMP_EQUAL("done", response.body.c_str());
+    LONGS_EQUAL(0, client.idleConnections(server.address()));
+}
+
+// Guards against a refused connection being reported as unknown, which forbids a harmless retry.
+TEST(UpstreamClient, RefusedConnectionIsNotRun)
+{
+    Address address;
+    {
+        ScriptedServer server([](const Received &) { return Reply {}; });
+        address = server.address();
+    }
+    const auto response = client.send(requestTo(address, RequestKind::Once));
+    CHECK(response.outcome == UpstreamOutcome::NotRun);
+    CHECK(response.failure == UpstreamFailure::Connect);
+    STRCMP_EQUAL(address.value().c_str(), response.reason.peer.c_str());
+}
+
+// Guards against cut answers passed on as whole: by length, by chunk, and with no length at all.
+TEST(UpstreamClient, PartialAnswerIsUnknown)
+{
+    const std::string answers[] = { "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        "HTTP/1.1 200 OK\r\n\r\nhalf", "HTTP/1.1 200 OK\r\nContent-Le" };
+    for (const std::string &answer : answers) {
+        ScriptedServer server([&](const Received &) { return Reply { answer, true }; });
+        for (const auto kind : { RequestKind::Once, RequestKind::Idempotent }) {
+            const auto response = client.send(requestTo(server.address(), kind));
+            CHECK(response.outcome == UpstreamOutcome::Unknown);
+            CHECK(response.failure == UpstreamFailure::Incomplete);
+            CHECK_EQUAL(kind == RequestKind::Idempotent, response.mayRetry(kind));
+            LONGS_EQUAL(0, client.idleConnections(server.address()));
+        }
+        LONGS_EQUAL(2, runs(server));
+    }
+}
+
+// Guards against a worker held by a request that its caller gave up.
+TEST(UpstreamClient, CancellationEndsARequestInFlight)
+{
+    ScriptedServer server([](const Received &) { return Reply {}; });
+    std::stop_source source;
+    UpstreamRequest request = requestTo(server.address(), RequestKind::Idempotent);
+    request.cancelled = source.get_token();
+    std::thread canceller([&] {
+        server.waitForRequests(1);
+        source.request_stop();
+    });
+    const auto response = client.send(request);
+    canceller.join();
+    CHECK(response.outcome == UpstreamOutcome::Unknown);
+    CHECK(response.failure == UpstreamFailure::Cancelled);
+    LONGS_EQUAL(0, client.idleConnections(server.address()));
+}
+
+// Guards against sending a request that was cancelled before.
+TEST(UpstreamClient, CancelledRequestIsNotSent)
+{
+    ScriptedServer server([](const Received &) { return okReply(""); });
+    std::stop_source source;
+    source.request_stop();
+    UpstreamRequest request = requestTo(server.address(), RequestKind::Once);
+    request.cancelled = source.get_token();
+    CHECK(client.send(request).outcome == UpstreamOutcome::NotRun);
+    LONGS_EQUAL(0, server.requests().size());
+}
+
+// Guards against a silent connection that is used again, where the late answer to the first
+// request would be taken for that to the second.
+TEST(UpstreamClient, SilentConnectionEndsAtTheDeadlineAndIsNotKept)
+{
+    ScriptedServer server([](const Received &received) {
+        return received.body == "silent" ? Reply {} : okReply("kept");
+    });
+    openKeptConnection(client, server.address());
+    UpstreamRequest request = requestTo(server.address(), RequestKind::Idempotent);
+    request.body = "silent";
+    request.deadline = SteadyClock().now() + std::chrono::milliseconds(50);
+    const auto response = client.send(request);
+    CHECK(response.outcome == UpstreamOutcome::Unknown);
+    CHECK(response.failure == UpstreamFailure::Deadline);
+    LONGS_EQUAL(0, client.idleConnections(server.address()));
+    openKeptConnection(client, server.address());
+    LONGS_EQUAL(1, server.requests().back().connection);
+}
+
+// Guards against a key, a forged connection header or a listed one reaching an upstream.
+TEST(UpstreamClient, KeysAndHopByHopHeadersStayBehind)
+{
+    ScriptedServer server([](const Received &) {
+        return Reply { "HTTP/1.1 200 OK\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-End: 2\r\n"
+                       "Content-Length: 0\r\n\r\n" };
+    });
+    UpstreamRequest request = requestTo(server.address(), RequestKind::Once);
+    request.headers = { { "ENDIVEQUAY-key", "secret" }, { "endivequay_KEY", "secret" },
+        { "Connection", "close, X-Listed" }, { "X-Listed", "secret" }, { "TE", "secret" },
+        { "Transfer-Encoding", "secret" }, { "Host", "secret" }, { "Content-Length", "1" },
+        { "Endivequay-Team", "a" }, { "X-Empty", "" } };
+    const auto response = client.send(request);
+    const std::string head = server.requests().front().head;
+    CHECK(head.find("secret") == std::string::npos);
+    STRCMP_CONTAINS("Endivequay-Team: a\r\n", head.c_str());
+    STRCMP_CONTAINS("X-Empty:\r\n", head.c_str());
+    STRCMP_CONTAINS("Content-Length: 6\r\n", head.c_str());
+    LONGS_EQUAL(1, response.headers.size());
+    STRCMP_EQUAL("X-End", response.headers.front().first.c_str());
+}
+
+// Guards against a header or path that smuggles a second request past the checks.
+TEST(UpstreamClient, MalformedRequestIsNotSent)
+{
+    ScriptedServer server([](const Received &) { return okReply(""); });
+    const std::string injected = "x\r\nEndivequay-Key: secret";
+    for (int part = 0; part < 5; ++part) {
+        UpstreamRequest request = requestTo(server.address(), RequestKind::Once);
+        request.headers.emplace_back("X-A", part == 0 ? injected : "a");
+        request.headers.emplace_back(part == 1 ? "X: y" : "X-B", "b");
+        request.path = part == 2 ? "/a b" : part == 3 ? "*" : "/a";
+        request.method = part == 4 ? "GET /" : "GET";
+        const auto response = client.send(request);
+        CHECK(response.outcome == UpstreamOutcome::NotRun);
+        CHECK(response.failure == UpstreamFailure::Malformed);
+    }
+    LONGS_EQUAL(0, server.requests().size());
+}
+
+// Guards against a path that libcurl rewrites, which could reach another resource.
+TEST(UpstreamClient, PathAndMethodArriveUnchanged)
+{
+    ScriptedServer server([](const Received &) { return okReply(""); });
+    UpstreamRequest request = requestTo(server.address(), RequestKind::Once);
+    request.path = "/a/../b/./c?d=%2e#e";
+    for (const std::string method :
+        { "GET", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "HEAD" }) {
+        request.method = method;
+        request.body.clear();
+        CHECK(client.send(request).outcome == UpstreamOutcome::Answered);
+        STRCMP_CONTAINS((method + " " + request.path + " HTTP/1.1\r\n").c_str(),
+            server.requests().back().head.c_str());
+    }
+}
+
+// Guards against a followed redirect, an answer without bound, and a declined request reported as
+// run.
+TEST(UpstreamClient, AnswersAreTakenAsTheyAre)
+{
+    UpstreamClient::Settings settings;
+    settings.answerLimit = 100;
+    UpstreamClient limited(settings);
+    std::string answer = "HTTP/1.1 302 Found\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n";
+    ScriptedServer server([&](const Received &) { return Reply { answer }; });
+    const UpstreamRequest request = requestTo(server.address(), RequestKind::Once);
+    LONGS_EQUAL(302, limited.send(request).status);
+    LONGS_EQUAL(1, runs(server));
+    answer = okReply(std::string(101, 'x')).bytes;
+    CHECK(limited.send(request).failure == UpstreamFailure::TooLarge);
+    answer = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Busy\r\nEndivequay-Not-Run: TRUE\r\n"
+             "Content-Length: 0\r\n\r\n";
+    const auto declined = limited.send(request);
+    CHECK(declined.outcome == UpstreamOutcome::NotRun);
+    LONGS_EQUAL(503, declined.status);
+}
