Add the store package

Cause: configuration and ledger need a store whose writes never lie about their outcome. Conclusion: a lost answer is resolved by reading back or by sending the compared write again.

--- a/store/include/endivequay/configstore.h
+++ b/store/include/endivequay/configstore.h
@@ -3,7 +3,10 @@
 
 #include "endivequay/store.h"
 
+#include <algorithm>
+#include <iterator>
 #include <map>
+#include <string_view>
 
 namespace endivequay {
 
@@ -139,11 +142,168 @@
 
     Result<ConfigHead> readHeadAt(Revision at, Instant deadline);
     Result<std::vector<KeyValue>> readPages(Instant deadline);
+    static SubmitResult accepted(const ConfigChange &change, Revision revision)
+    {
+        return { WriteOutcome::Done, { change.id, change.by, change.documents, revision }, {} };
+    }
     SubmitResult searchHistory(const ConfigChange &change, ConfigHead head, Instant deadline);
 
     S *store_;
 };
 
+template <Store S>
+Result<ConfigHead> ConfigStore<S>::readHeadAt(Revision at, Instant deadline)
+{
+    RangeRequest request;
+    request.key = detail::configKey("head");
+    request.at = at;
+    request.deadline = deadline;
+    const auto response = store_->range(request);
+    if (!response)
+        return response.lastReason();
+    if (response->values.empty())
+        return ConfigHead {};
+    const KeyValue &head = response->values.front();
+    return detail::parseHead(head.value, head.modified);
+}
+
+template <Store S>
+Result<std::vector<KeyValue>> ConfigStore<S>::readPages(Instant deadline)
+{
+    RangeRequest request;
+    request.key = std::string(detail::configPrefix);
+    request.scope = KeyScope::Prefix;
+    request.limit = pageSize;
+    request.deadline = deadline;
+    std::vector<KeyValue> values;
+    for (bool more = true; more;) {
+        auto page = store_->range(request);
+        if (!page)
+            return page.lastReason();
+        std::ranges::move(page->values, std::back_inserter(values));
+        more = page->more && !page->values.empty();
+        if (request.at == Revision(0))
+            request.at = page->revision;
+        if (more)
+            request.after = values.back().key;
+    }
+    return values;
+}
+
+template <Store S>
+Result<ConfigSnapshot> ConfigStore<S>::readDocuments(Instant deadline)
+{
+    auto values = readPages(deadline);
+    if (!values)
+        return values.lastReason();
+    return detail::toSnapshot(*std::move(values));
+}
+
+template <Store S>
+SubmitResult ConfigStore<S>::submit(const ConfigChange &change, Instant deadline)
+{
+    if (const Status checked = detail::checkChange(change); !checked)
+        return { WriteOutcome::NotApplied, {}, checked.lastReason() };
+    const WriteResult written = store_->transact(detail::toTransaction(change, deadline));
+    if (written.outcome == WriteOutcome::Done)
+        return accepted(change, written.revision);
+    if (written.outcome == WriteOutcome::Unknown)
+        return resolve(change, deadline);
+    if (written.outcome == WriteOutcome::NotApplied)
+        return { WriteOutcome::NotApplied, {}, written.reason };
+    if (written.current.empty())
+        return detail::conflictWith({});
+    const KeyValue &current = written.current.front();
+    const auto head = detail::parseHead(current.value, current.modified);
+    if (!head)
+        return { WriteOutcome::Conflict, {}, head.lastReason() };
+    return detail::conflictWith(*head);
+}
+
+template <Store S>
+SubmitResult ConfigStore<S>::resolve(const ConfigChange &change, Instant deadline)
+{
+    SubmitResult result;
+    for (int attempt = 0; attempt < resolveAttempts; ++attempt) {
+        const auto head = readHead(deadline);
+        if (!head) {
+            result.reason = head.lastReason();
+            continue;
+        }
+        if (head->change == change.id || head->revision != change.base)
+            return searchHistory(change, *head, deadline);
+        const WriteResult written = store_->transact(detail::toTransaction(change, deadline));
+        if (written.outcome == WriteOutcome::Done)
+            return accepted(change, written.revision);
+        result.reason = written.reason;
+    }
+    return result;
+}
+
+template <Store S>
+SubmitResult ConfigStore<S>::searchHistory(
+    const ConfigChange &change, ConfigHead head, Instant deadline)
+{
+    for (int searched = 0; searched < searchedChanges; ++searched) {
+        if (head.change == change.id)
+            return { WriteOutcome::Done, head, {} };
+        const auto previous = readHeadAt(Revision(head.revision.value() - 1), deadline);
+        if (!previous)
+            return { WriteOutcome::Unknown, {}, previous.lastReason() };
+        if (previous->revision <= change.base)
+            return detail::conflictWith(head);
+        head = *previous;
+    }
+    return { WriteOutcome::Unknown, {},
+        { "config.resolve", change.id.value(), "too many changes were accepted since" } };
+}
+
+template <Store S>
+WatchHandle ConfigStore<S>::watchChanges(
+    Revision from, Instant deadline, std::function<void(const ConfigWatchMessage &)> callback)
+{
+    WatchRequest request;
+    request.key = std::string(detail::configPrefix);
+    request.scope = KeyScope::Prefix;
+    request.from = from;
+    request.deadline = deadline;
+    return store_->watch(
+        request, [callback = std::move(callback), over = false](const WatchMessage &raw) mutable {
+            if (over)
+                return;
+            const ConfigWatchMessage message = detail::toConfigMessage(raw);
+            over = message.ended.has_value();
+            callback(message);
+        });
+}
+
+template <Store S>
+Result<LedgerValue> ConfigStore<S>::readLedger(const FailureDomainId &domain, Instant deadline)
+{
+    RangeRequest request;
+    request.key = detail::ledgerKey(domain);
+    request.deadline = deadline;
+    auto response = store_->range(request);
+    if (!response)
+        return response.lastReason();
+    if (response->values.empty())
+        return LedgerValue {};
+    KeyValue &ledger = response->values.front();
+    return LedgerValue { std::move(ledger.value), ledger.modified };
+}
+
+template <Store S>
+WriteResult ConfigStore<S>::writeLedger(
+    const FailureDomainId &domain, Revision base, std::string text, Instant deadline)
+{
+    const std::string key = detail::ledgerKey(domain);
+    TransactionRequest request;
+    request.compares = { { key, base } };
+    request.puts = { { key, std::move(text), {} } };
+    request.deadline = deadline;
+    return store_->transact(request);
+}
+
 } // namespace endivequay
 
 #endif
--- a/store/include/endivequay/etcdstore.h
+++ b/store/include/endivequay/etcdstore.h
@@ -25,7 +25,7 @@
     /// Checks the settings; connects only with the first call.
     static Result<EtcdStore> create(Settings settings);
 
-    /// Stops all calls; the handles of watches stay valid.
+    /// Running watches go on until their handles stop them.
     ~EtcdStore();
     EtcdStore(EtcdStore &&) noexcept;
     EtcdStore &operator=(EtcdStore &&) noexcept;
--- a/store/include/endivequay/store.h
+++ b/store/include/endivequay/store.h
@@ -86,7 +86,7 @@
 /// What is known about a write after the call.
 enum class WriteOutcome {
     Done, ///< It took effect.
-    Conflict, ///< A comparison failed or the lease has lapsed; it did not take effect.
+    Conflict, ///< A comparison failed or the lease to renew has lapsed; it did not take effect.
     NotApplied, ///< It did not and will not take effect, for example connection refused.
     Unknown, ///< The answer was lost; it may have taken effect or may still do so.
 };
@@ -180,8 +180,8 @@
     WatchHandle(const WatchHandle &) = delete;
     WatchHandle &operator=(const WatchHandle &) = delete;
 
-    /// Stops the watch. Afterwards the callback neither runs nor starts, except that a call from
-    /// within the callback lets that one run of it finish.
+    /// Stops the watch and waits until its callback has returned, so the caller must hold no lock
+    /// that the callback takes. Called from within the callback, it does not wait.
     void stop()
     {
         if (const auto stop = std::exchange(stop_, nullptr))
