Rename types of config that clash with another package

Cause: packages share one namespace; equal names with different layouts break the one-definition rule. Change: names only.

--- a/config/src/configuration.cpp
+++ b/config/src/configuration.cpp
@@ -273,7 +273,7 @@
 {
     const auto [a, b] = std::minmax(from, to);
     const auto found = std::ranges::find_if(
-        topology().links, [&](const LinkBudget &link) { return link.a == a && link.b == b; });
+        topology().links, [&](const LinkLimit &link) { return link.a == a && link.b == b; });
     return found == topology().links.end() ? std::nullopt : std::optional(found->bytesPerSecond);
 }
 
