daemon: add the entry instance

Cause: the coordination and policy packages need a process around them. Change: settings from flags and environment, RESTinio front end, worker pool over shared tables with a stated lock order, peer messages, store and list readers, admission, operations, forwarding, planned stop; share and ledger messages in the codec.

--- a/coordination/include/endivequay/messages.h
+++ b/coordination/include/endivequay/messages.h
@@ -5,6 +5,7 @@
 #include "endivequay/configlog.h"
 #include "endivequay/events.h"
 #include "endivequay/freshness.h"
+#include "endivequay/sharemessages.h"
 #include "endivequay/types.h"
 
 #include <cstdint>
@@ -121,10 +122,48 @@
     bool operator==(const MemberDigest &) const = default;
 };
 
+/// Revision of a cell ledger that the sender has.
+struct KnownLedger
+{
+    FailureDomainId domain;
+    Revision revision;
+
+    bool operator==(const KnownLedger &) const = default;
+};
+
+/// Asks a peer for the ledger of the sender's domain and for newer ones of other domains.
+struct LedgerPull
+{
+    std::uint64_t number = 0; ///< Repeated in the reply, which finds the send time by it.
+    Incarnation incarnation;
+    FailureDomainId domain; ///< Of the sender: its entry is always in the reply.
+    std::vector<KnownLedger> known;
+
+    bool operator==(const LedgerPull &) const = default;
+};
+
+/// A cell ledger as the sender knows it.
+struct LedgerEntry
+{
+    FailureDomainId domain;
+    Revision revision;
+    Interval age {}; ///< Since the start of the store read that returned this revision last.
+    /// Domain name and ledger text; absent if the asking side has this revision.
+    std::optional<std::pair<std::string, DocumentText>> document;
+};
+
+/// Answer to a LedgerPull.
+struct LedgerReply
+{
+    std::uint64_t number = 0;
+    Incarnation incarnation;
+    std::vector<LedgerEntry> entries;
+};
+
 /// Every message of a peer link. A further type needs an alternative here and a schema in
 /// codec.cpp.
-using Message
-    = std::variant<Hello, Heartbeat, HeartbeatEcho, ConfigPull, ConfigReply, MemberDigest>;
+using Message = std::variant<Hello, Heartbeat, HeartbeatEcho, ConfigPull, ConfigReply, MemberDigest,
+    LedgerPull, LedgerReply, CellRelease, CellReleased, LoanRequest, LoanReply, LoanReturn>;
 
 } // namespace endivequay
 
--- a/coordination/src/codec.cpp
+++ b/coordination/src/codec.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <limits>
 #include <type_traits>
+#include <utility>
 
 namespace endivequay {
 
@@ -156,10 +157,113 @@
     a({ "e", "entries" }, m.entries);
 }
 
+template <class A>
+void describe(A &a, Of<A, KnownLedger> &m)
+{
+    a({ "d", "domain" }, m.domain);
+    a({ "r", "revision" }, m.revision);
+}
+
+template <class A>
+void describe(A &a, Of<A, LedgerPull> &m)
+{
+    a({ "n", "number" }, m.number);
+    a({ "i", "incarnation" }, m.incarnation);
+    a({ "d", "domain" }, m.domain);
+    a({ "l", "known" }, m.known);
+}
+
+template <class A>
+void describe(A &a, Of<A, LedgerEntry> &m)
+{
+    a({ "d", "domain" }, m.domain);
+    a({ "r", "revision" }, m.revision);
+    a({ "a", "age" }, m.age);
+    a({ "t", "document" }, m.document);
+}
+
+template <class A>
+void describe(A &a, Of<A, LedgerReply> &m)
+{
+    a({ "n", "number" }, m.number);
+    a({ "i", "incarnation" }, m.incarnation);
+    a({ "e", "entries" }, m.entries);
+}
+
+template <class A>
+void describe(A &a, Of<A, Allotment> &m)
+{
+    a({ "r", "rate" }, m.rate);
+    a({ "b", "burst" }, m.burst);
+}
+
+template <class A>
+void describe(A &a, Of<A, LoanId> &m)
+{
+    a({ "i", "borrower" }, m.borrower);
+    a({ "n", "sequence" }, m.sequence);
+}
+
+template <class A>
+void describe(A &a, Of<A, CellRelease> &m)
+{
+    a({ "d", "domain" }, m.domain);
+    a({ "i", "keeper" }, m.keeper);
+    a({ "r", "ledger" }, m.ledger);
+    a({ "c", "cells" }, m.cells);
+}
+
+template <class A>
+void describe(A &a, Of<A, CellReleased> &m)
+{
+    a({ "d", "domain" }, m.domain);
+    a({ "i", "owner" }, m.owner);
+    a({ "r", "ledger" }, m.ledger);
+    a({ "c", "cells" }, m.cells);
+}
+
+template <class A>
+void describe(A &a, Of<A, LoanRequest> &m)
+{
+    a({ "l", "id" }, m.id);
+    a({ "r", "resource" }, m.resource);
+    a({ "d", "definition" }, m.definition);
+    a({ "a", "amount" }, m.amount);
+    a({ "t", "tokens" }, m.tokens);
+    a({ "s", "slots" }, m.slots);
+    a({ "w", "renews" }, m.renews);
+}
+
+template <class A>
+void describe(A &a, Of<A, LoanReply> &m)
+{
+    a({ "l", "id" }, m.id);
+    a({ "r", "resource" }, m.resource);
+    a({ "i", "lender" }, m.lender);
+    a({ "d", "definition" }, m.definition);
+    a({ "a", "amount" }, m.amount);
+    a({ "t", "tokens" }, m.tokens);
+    a({ "s", "slots" }, m.slots);
+    a({ "e", "term" }, m.term);
+    a({ "h", "holder" }, m.holder);
+}
+
+template <class A>
+void describe(A &a, Of<A, LoanReturn> &m)
+{
+    a({ "l", "id" }, m.id);
+    a({ "r", "resource" }, m.resource);
+    a({ "a", "amount" }, m.amount);
+    a({ "t", "tokens" }, m.tokens);
+    a({ "s", "slots" }, m.slots);
+}
+
 /// Kinds in the order of the alternatives of Message. A kind is never reused for another meaning.
 constexpr std::array<Key, std::variant_size_v<Message>> kinds { { { "he", "hello" },
     { "hb", "heartbeat" }, { "ec", "echo" }, { "pu", "pull" }, { "re", "reply" },
-    { "md", "digest" } } };
+    { "md", "digest" }, { "lp", "ledgerPull" }, { "lr", "ledgerReply" }, { "cr", "cellRelease" },
+    { "cd", "cellReleased" }, { "lq", "loanRequest" }, { "la", "loanReply" },
+    { "lb", "loanReturn" } } };
 
 template <class T>
 struct IsVector : std::false_type
--- a/core/include/endivequay/events.h
+++ b/core/include/endivequay/events.h
@@ -107,7 +107,11 @@
 class Timeline
 {
 public:
-    enum class Log { Standard, Off };
+    enum class Log {
+        Standard,
+        WithoutRequests, ///< Events 400 to 429, one or more a request, go to the ring only.
+        Off
+    };
 
     /// \a capacity is the number of events kept; older ones are dropped.
     Timeline(std::string process, std::size_t capacity, Log log = Log::Standard);
--- a/core/src/events.cpp
+++ b/core/src/events.cpp
@@ -61,6 +61,13 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
 }
 
+bool isRequestEvent(EventId id)
+{
+    constexpr int first = 400;
+    constexpr int last = 429;
+    return static_cast<int>(id) >= first && static_cast<int>(id) <= last;
+}
+
 } // namespace
 
 HybridTime HybridClock::tick(std::int64_t wallMicros)
@@ -105,7 +112,7 @@
 void Timeline::record(EventId id, EventFields fields)
 {
     Event event { clock_.tick(wallMicros()), id, process_, std::move(fields) };
-    if (log_ == Log::Standard)
+    if (log_ == Log::Standard || (log_ == Log::WithoutRequests && !isRequestEvent(id)))
         fmt::print(stderr, "{}\n", formatEvent(event));
     const std::lock_guard lock(mutex_);
     ring_.push_back(std::move(event));
--- /dev/null
+++ b/daemon/src/admission.h
@@ -0,0 +1,137 @@
+#ifndef ENDIVEQUAY_DAEMON_ADMISSION_H
+#define ENDIVEQUAY_DAEMON_ADMISSION_H
+
+#include "endivequay/admissionqueue.h"
+#include "endivequay/forwarding.h"
+#include "endivequay/linkbudget.h"
+#include "endivequay/loadestimate.h"
+#include "endivequay/retrybudget.h"
+#include "node.h"
+
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+#include <variant>
+
+namespace endivequay {
+
+/// A request that needs a slot of an upstream.
+struct SlotRequest
+{
+    ServiceId service;
+    TeamId team; ///< Empty for open routes.
+    RequestRate weight { 1 };
+    Instant deadline;
+    bool deferrable = false;
+    int hops = 0;
+    std::uint64_t bytes = 0;
+    std::optional<RegionId> home; ///< Home region of the client, if known.
+    std::stop_token cancelled;
+};
+
+/// A slot of an upstream, given back by Admission::finish().
+struct SlotGrant
+{
+    UpstreamId upstream;
+    Address address;
+    SlotLease lease;
+    Instant startedAt;
+};
+
+/// The request is to be passed on to the instance at \a address.
+struct PassToInstance
+{
+    Address address;
+};
+
+using SlotDecision = std::variant<SlotGrant, PassToInstance, Refusal>;
+
+/// Slots of the upstreams in the own failure domain and the requests that wait for them. Thread
+/// safe. Its mutex comes after Tables::Shares::mutex in the lock order.
+class Admission
+{
+public:
+    explicit Admission(Node &node);
+    ~Admission();
+
+    Admission(const Admission &) = delete;
+    Admission &operator=(const Admission &) = delete;
+
+    /// Blocks until there is a slot, the request should be passed on, or it is refused.
+    SlotDecision acquire(const SlotRequest &request);
+    /// Returns a slot.
+    void finish(const ServiceId &service, const SlotGrant &grant, RequestResult result);
+
+    void requestStarted(const ServiceId &service, const TeamId &team);
+    bool tryRetry(const ServiceId &service, const TeamId &team);
+
+    /// State of an upstream for the status page.
+    struct UpstreamStatus
+    {
+        int inFlight = 0;
+        int usableSlots = 0;
+        bool ejected = false;
+    };
+    std::map<UpstreamId, UpstreamStatus> status();
+    int inFlight();
+
+private:
+    struct Waiter
+    {
+        std::optional<SlotGrant> grant;
+        std::optional<Refusal> refusal;
+    };
+
+    struct ServiceState
+    {
+        explicit ServiceState(std::uint64_t seed)
+            : upstreams(seed)
+        { }
+
+        AdmissionQueue queue;
+        UpstreamView upstreams;
+        std::map<UpstreamId, bool> draining;
+        std::map<Ticket, Waiter> waiters;
+    };
+
+    struct ShiftBudget
+    {
+        RateShares &rates;
+        ResourceId resource;
+
+        bool tryTake(Instant now) { return rates.tryAcquire(resource, RequestCount(1), now); }
+    };
+
+    void maintain(const std::stop_token &stop);
+    void pollLoads(const std::stop_token &stop);
+    // The functions below need both mutexes.
+    void adoptView(const ConfigView &view, Instant now);
+    void updateShares(const ConfigView &view, Instant now);
+    void setUpstreamShare(const Upstream &upstream, Instant now);
+    void dispatch(const ServiceId &service, ServiceState &state, Instant now);
+    std::optional<SlotGrant> tryTake(const ServiceId &service, ServiceState &state, Instant now);
+    ForwardDecision decide(const SlotRequest &request, ServiceState &state, Instant now);
+    std::vector<ForwardTarget> targets(const SlotRequest &request);
+    std::vector<ShareOutgoing> wantSlots(ServiceState &state, Instant now);
+    LoadSummary loadSummary(Instant now) const;
+
+    Node &node_;
+    const SteadyClock clock_ {};
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<ServiceId, std::unique_ptr<ServiceState>> services_;
+    std::shared_ptr<const ConfigView> adopted_;
+    RetryBudget retries_;
+    LinkBudget links_;
+    std::map<Address, int> passedOn_; ///< Since the last refresh of the peers' load.
+    Instant passedOnSince_;
+    Ticket lastTicket_ = 0;
+    std::jthread maintenance_;
+    std::jthread loadPoller_;
+};
+
+} // namespace endivequay
+
+#endif
--- /dev/null
+++ b/daemon/src/node.h
@@ -0,0 +1,235 @@
+#ifndef ENDIVEQUAY_DAEMON_NODE_H
+#define ENDIVEQUAY_DAEMON_NODE_H
+
+#include "endivequay/configlog.h"
+#include "endivequay/configstore.h"
+#include "endivequay/etcdstore.h"
+#include "endivequay/events.h"
+#include "endivequay/freshness.h"
+#include "endivequay/membership.h"
+#include "endivequay/messages.h"
+#include "endivequay/metrics.h"
+#include "endivequay/operations.h"
+#include "endivequay/peerlinks.h"
+#include "endivequay/shares.h"
+#include "servingview.h"
+#include "settings.h"
+#include "workerpool.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace endivequay {
+
+/// Shared tables of an instance. Lock order: config, membership, shares, admission (see
+/// admission.h), operations. A thread that holds one takes only later ones. The time line, the
+/// metrics and the peer links have locks of their own that are never held while taking another.
+struct Tables
+{
+    struct Config
+    {
+        std::mutex mutex;
+        ConfigLog log;
+        Freshness freshness;
+        SyncSource source;
+        SharedDocuments appliedDocuments; ///< Documents of the view in force.
+    } config;
+
+    struct Members
+    {
+        explicit Members(MemberIdentity self)
+            : view(std::move(self))
+        { }
+
+        std::mutex mutex;
+        Membership view;
+    } members;
+
+    struct Shares
+    {
+        Shares(FailureDomainId domain, Incarnation self, Instant now)
+            : own(domain, self, now)
+            , keeper(std::move(domain), self, now)
+        { }
+
+        std::mutex mutex;
+        std::condition_variable changed; ///< Loans, ledgers and definitions have changed.
+        InstanceShares own;
+        Keeper keeper;
+        /// Ledgers known, with the start of the store read that confirmed them last.
+        std::map<FailureDomainId, std::pair<LedgerSnapshot, Instant>> ledgers;
+        std::optional<PlatformList> list;
+        std::map<Incarnation, Instant> firstHeardAt;
+    } shares;
+
+    struct Operations
+    {
+        Operations(Incarnation self, Address address, std::string secret)
+            : table(self, std::move(address), std::move(secret))
+        { }
+
+        std::mutex mutex;
+        std::condition_variable changed; ///< An operation has ended.
+        OperationTable table;
+        std::map<WaitTicket, FinishedOperation> finished; ///< For the copies that wait.
+    } operations;
+
+    Tables(const MemberIdentity &self, const std::string &operationSecret, Instant now)
+        : members(self)
+        , shares(self.domain, self.incarnation, now)
+        , operations(self.incarnation, self.address, operationSecret)
+    { }
+};
+
+/// Coordination of one instance with its peers and the store: threads that run the timers of the
+/// coordination package and carry its messages.
+class Node
+{
+public:
+    /// Opens the peer links and starts all threads.
+    static Result<std::unique_ptr<Node>> start(
+        const Settings &settings, Timeline &timeline, Metrics &metrics);
+    /// Stops all threads.
+    ~Node();
+
+    Node(const Node &) = delete;
+    Node &operator=(const Node &) = delete;
+
+    const Settings &settings() const { return settings_; }
+    const MemberIdentity &identity() const { return identity_; }
+    Timeline &timeline() { return timeline_; }
+    Metrics &metrics() { return metrics_; }
+    Tables &tables() { return tables_; }
+    PeerLinkCounters linkCounters() const { return links_->counters(); }
+
+    /// The configuration in force; null before the first one.
+    std::shared_ptr<const ConfigView> view() const { return view_.load(); }
+    std::shared_ptr<const SteeringMap> steering() const { return steering_.load(); }
+
+    /// Load of the callers' side, told to others with the next heartbeat.
+    void setLoad(const LoadSummary &load);
+    /// Sends share messages to their instances.
+    void send(const std::vector<ShareOutgoing> &messages);
+    /// Tries to take \a count tokens and waits for a loan of up to loanWait, not past \a deadline.
+    bool acquireRate(const ResourceId &resource, RequestCount count, Instant deadline);
+
+    /// Tells all that this instance leaves; it is not named in look-ups any more.
+    void announceLeaving();
+    bool isLeaving() const { return leaving_; }
+    /// Gives all cells back and waits until the ledger says so, at most until \a deadline.
+    bool releaseCells(Instant deadline);
+
+private:
+    struct PendingPull
+    {
+        Incarnation target;
+        Instant sentAt;
+    };
+
+    Node(const Settings &settings, Timeline &timeline, Metrics &metrics, MemberIdentity identity,
+        EtcdStore store);
+
+    // Threads.
+    void controlLoop(const std::stop_token &stop);
+    void storeLoop(const std::stop_token &stop);
+    void listLoop(const std::stop_token &stop);
+
+    // Timers of the control thread.
+    void tickMembership(Instant now);
+    void tickHeartbeats(Instant now);
+    void tickPull(Instant now);
+    void tickLedgerPull(Instant now);
+    void tickShares(Instant now);
+    void tickSteering(Instant now);
+    void tickFreshness(Instant now);
+
+    // Messages, on the thread of the links.
+    void onConnected(const PeerIdentity &peer);
+    void onDisconnected(const PeerIdentity &peer);
+    void onBytes(const PeerIdentity &peer, const std::string &bytes);
+    void onRejected(const std::string &peer, const std::string &reason);
+    void handle(const Address &from, const Hello &message);
+    void handle(const Address &from, const Heartbeat &message);
+    void handle(const Address &from, const HeartbeatEcho &message);
+    void handle(const Address &from, const ConfigPull &message);
+    void handle(const Address &from, const ConfigReply &message);
+    void handle(const Address &from, const MemberDigest &message);
+    void handle(const Address &from, const LedgerPull &message);
+    void handle(const Address &from, const LedgerReply &message);
+    void handle(const Address &from, const CellReleased &message);
+    template <class T>
+    void handle(const Address &from, const T &message);
+    void handleShare(const Address &from, const ShareMessage &message);
+
+    // Configuration.
+    void readConfiguration(Instant now);
+    void startWatch();
+    void onWatch(const ConfigWatchMessage &message);
+    void applySnapshot(const ConfigSnapshot &snapshot);
+    void applyUpdate(const ConfigUpdate &update);
+    void rebuildView(RaiseRule rule);
+    void silent(Instant readStarted);
+
+    // Cells.
+    void readLedger();
+    void runKeeper();
+    void applyLedger(const LedgerSnapshot &snapshot, Instant readStarted);
+    std::vector<LedgerMember> ledgerMembers(Instant now);
+    std::vector<DomainOwners> otherOwners();
+
+    bool inStoreRegion() const;
+    void sendTo(const Address &address, const Message &message);
+    void logMemberEvents(const std::vector<MemberEvent> &events);
+    std::optional<Address> addressOf(const Incarnation &incarnation);
+
+    const Settings settings_;
+    Timeline &timeline_;
+    Metrics &metrics_;
+    const MemberIdentity identity_;
+    const SteadyClock clock_ {};
+    Tables tables_;
+    std::atomic<bool> leaving_ { false };
+
+    std::atomic<std::shared_ptr<const ConfigView>> view_;
+    std::atomic<std::shared_ptr<const SteeringMap>> steering_;
+    std::mutex loadMutex_;
+    LoadSummary load_;
+
+    std::unique_ptr<PeerLinks> links_;
+    std::mutex linkMutex_;
+    std::map<Address, Instant> openLinks_; ///< Address and last use of an on-demand link.
+    std::set<Address> wantedLinks_; ///< Links that stay open.
+    std::set<std::pair<std::string, std::string>> loggedRejections_;
+
+    std::mutex pullMutex_;
+    std::map<std::uint64_t, PendingPull> pulls_;
+    std::uint64_t lastPull_ = 0;
+
+    EtcdStore store_;
+    ConfigStore<EtcdStore> configStore_;
+    WatchHandle watch_;
+    std::atomic<bool> watching_ { false };
+    std::mutex storeMutex_;
+    std::condition_variable_any storeWake_;
+    bool storeWanted_ = false; ///< The store thread runs at once.
+    bool storeSilent_ = false; ///< Touched by the store thread only.
+
+    std::uint64_t heartbeatSequence_ = 0; ///< Touched by the control thread only.
+    Instant nextHeartbeat_, nextPull_, nextLedgerPull_, nextSteering_; ///< As above.
+    std::size_t ledgerPullTurn_ = 0; ///< As above.
+
+    /// One thread, so that updates apply in order and never block the links.
+    std::unique_ptr<WorkerPool> configWorker_;
+    std::jthread controlThread_;
+    std::jthread storeThread_;
+    std::jthread listThread_;
+};
+
+} // namespace endivequay
+
+#endif
--- /dev/null
+++ b/daemon/src/nodemessages.cpp
@@ -0,0 +1,253 @@
+// Messages of the peer links.
+
+#include "endivequay/codec.h"
+#include "node.h"
+
+#include <algorithm>
+
+namespace endivequay {
+
+void Node::onConnected(const PeerIdentity &peer)
+{
+    const Address address = callerAddressOf(Address(peer.address));
+    {
+        const std::lock_guard lock(linkMutex_);
+        openLinks_[address] = clock_.now();
+    }
+    Hello hello;
+    hello.time = timeline_.sendTime();
+    hello.identity = identity_;
+    sendTo(address, hello);
+}
+
+void Node::onDisconnected(const PeerIdentity &peer)
+{
+    const Address address = callerAddressOf(Address(peer.address));
+    {
+        const std::lock_guard lock(linkMutex_);
+        openLinks_.erase(address);
+    }
+    const std::lock_guard lock(tables_.members.mutex);
+    tables_.members.view.linkClosed(address);
+}
+
+void Node::onRejected(const std::string &peer, const std::string &reason)
+{
+    {
+        const std::lock_guard lock(linkMutex_);
+        const std::string host = peer.substr(0, peer.rfind(':'));
+        if (!loggedRejections_.emplace(host, reason).second)
+            return;
+    }
+    timeline_.record(EventId::PeerRejected, { { "peer", peer }, { "reason", reason } });
+}
+
+void Node::onBytes(const PeerIdentity &peer, const std::string &bytes)
+{
+    auto message = decode(bytes);
+    if (!message) {
+        onRejected(peer.address, toString(message.lastReason()));
+        return;
+    }
+    const Address from = callerAddressOf(Address(peer.address));
+    std::visit([&](const auto &typed) { handle(from, typed); }, *message);
+}
+
+void Node::handle(const Address &from, const Hello &message)
+{
+    timeline_.receive(message.time);
+    if (message.identity.address != from) {
+        onRejected(from.value(), "hello names another address");
+        return;
+    }
+    const Instant now = clock_.now();
+    const std::lock_guard lock(tables_.members.mutex);
+    if (tables_.members.view.greeted(message.identity, now))
+        tables_.members.view.linkOpened(from, now);
+}
+
+void Node::handle(const Address &from, const Heartbeat &message)
+{
+    timeline_.receive(message.time);
+    const Instant now = clock_.now();
+    {
+        const std::lock_guard lock(tables_.members.mutex);
+        if (!tables_.members.view.heard(message, now))
+            return;
+        const Member *member = tables_.members.view.find(message.incarnation);
+        if (member == nullptr || member->identity.address != from)
+            return;
+    }
+    {
+        const std::lock_guard lock(tables_.shares.mutex);
+        tables_.shares.firstHeardAt.emplace(message.incarnation, now);
+    }
+    HeartbeatEcho echo;
+    echo.incarnation = identity_.incarnation;
+    echo.sequence = message.sequence;
+    {
+        const std::lock_guard lock(tables_.config.mutex);
+        echo.silences = tables_.config.freshness.silences(now);
+    }
+    sendTo(from, echo);
+}
+
+void Node::handle(const Address &, const HeartbeatEcho &message)
+{
+    // The heartbeat was sent at most one period before its echo arrives, unless the echo is late;
+    // counting from a period earlier keeps the age from being understated.
+    const Instant now = clock_.now();
+    const std::lock_guard lock(tables_.config.mutex);
+    for (const SilenceReport &report : message.silences)
+        tables_.config.freshness.silenceReported(report, now - std::chrono::seconds(1), now);
+}
+
+void Node::handle(const Address &from, const ConfigPull &message)
+{
+    const Instant now = clock_.now();
+    ConfigReply reply;
+    reply.time = timeline_.sendTime();
+    reply.number = message.number;
+    reply.incarnation = identity_.incarnation;
+    {
+        const std::lock_guard lock(tables_.config.mutex);
+        reply.revision = tables_.config.log.revision();
+        reply.confirmedAge = tables_.config.freshness.age(now);
+        reply.syncPath = tables_.config.source.path();
+        reply.silences = tables_.config.freshness.silences(now);
+        reply.update = tables_.config.log.changesSince(message.revision, message.cursor);
+    }
+    sendTo(from, reply);
+}
+
+void Node::handle(const Address &from, const ConfigReply &message)
+{
+    timeline_.receive(message.time);
+    PendingPull pull;
+    {
+        const std::lock_guard lock(pullMutex_);
+        const auto found = pulls_.find(message.number);
+        if (found == pulls_.end() || found->second.target != message.incarnation)
+            return;
+        pull = found->second;
+        pulls_.erase(found);
+    }
+    if (addressOf(message.incarnation) != from)
+        return;
+    const Instant now = clock_.now();
+    {
+        const std::lock_guard lock(tables_.config.mutex);
+        Tables::Config &config = tables_.config;
+        config.source.replied(identity_.incarnation, message.incarnation, message.syncPath, now);
+        for (const SilenceReport &report : message.silences)
+            config.freshness.silenceReported(report, pull.sentAt, now);
+        if (message.confirmedAge)
+            config.freshness.peerAnswered(pull.sentAt, *message.confirmedAge, message.revision);
+    }
+    const auto *delta = std::get_if<ConfigDelta>(&message.update);
+    if (delta == nullptr || !delta->changes.empty())
+        configWorker_->tryRun([this, update = message.update] { applyUpdate(update); });
+}
+
+void Node::handle(const Address &from, const MemberDigest &message)
+{
+    const Instant now = clock_.now();
+    const std::lock_guard lock(tables_.members.mutex);
+    const Member *sender = tables_.members.view.find(message.incarnation);
+    if (sender != nullptr && sender->identity.address == from)
+        tables_.members.view.digestReceived(message, now);
+}
+
+void Node::handle(const Address &from, const LedgerPull &message)
+{
+    const Instant now = clock_.now();
+    LedgerReply reply { message.number, identity_.incarnation, {} };
+    {
+        const std::lock_guard lock(tables_.shares.mutex);
+        for (const auto &[domain, known] : tables_.shares.ledgers) {
+            const auto &[snapshot, readStarted] = known;
+            const auto theirs = std::ranges::find(message.known, domain, &KnownLedger::domain);
+            const bool newer
+                = theirs == message.known.end() || theirs->revision < snapshot.revision;
+            if (!newer && domain != message.domain)
+                continue;
+            LedgerEntry entry { domain, snapshot.revision, now - readStarted, std::nullopt };
+            if (newer)
+                entry.document.emplace(
+                    domain.value(), std::make_shared<const std::string>(snapshot.ledger.toJson()));
+            reply.entries.push_back(std::move(entry));
+        }
+    }
+    sendTo(from, reply);
+}
+
+void Node::handle(const Address &, const LedgerReply &message)
+{
+    Instant sentAt;
+    {
+        const std::lock_guard lock(pullMutex_);
+        const auto found = pulls_.find(message.number);
+        if (found == pulls_.end())
+            return;
+        sentAt = found->second.sentAt;
+        pulls_.erase(found);
+    }
+    for (const LedgerEntry &entry : message.entries) {
+        LedgerSnapshot snapshot { entry.revision, CellLedger(entry.domain) };
+        if (entry.document) {
+            auto ledger = CellLedger::fromJson(*entry.document->second);
+            if (!ledger || ledger->domain() != entry.domain)
+                continue;
+            snapshot.ledger = *std::move(ledger);
+        } else {
+            const std::lock_guard lock(tables_.shares.mutex);
+            const auto known = tables_.shares.ledgers.find(entry.domain);
+            if (known == tables_.shares.ledgers.end()
+                || known->second.first.revision != entry.revision)
+                continue;
+            snapshot = known->second.first;
+        }
+        applyLedger(snapshot, sentAt - entry.age);
+    }
+}
+
+void Node::handle(const Address &, const CellReleased &message)
+{
+    {
+        const std::lock_guard lock(tables_.shares.mutex);
+        tables_.shares.keeper.onCellReleased(message);
+    }
+    {
+        const std::lock_guard lock(storeMutex_);
+        storeWanted_ = true;
+    }
+    storeWake_.notify_all();
+}
+
+template <class T>
+void Node::handle(const Address &from, const T &message)
+{
+    handleShare(from, message);
+}
+
+void Node::handleShare(const Address &from, const ShareMessage &message)
+{
+    const Instant now = clock_.now();
+    Incarnation sender;
+    {
+        const std::lock_guard lock(tables_.members.mutex);
+        const Member *member = tables_.members.view.at(from);
+        if (member == nullptr)
+            return;
+        sender = member->identity.incarnation;
+    }
+    std::vector<ShareOutgoing> answers;
+    {
+        const std::lock_guard lock(tables_.shares.mutex);
+        answers = tables_.shares.own.onMessage(sender, message, now);
+    }
+    tables_.shares.changed.notify_all();
+    send(answers);
+}
+
+} // namespace endivequay
--- /dev/null
+++ b/daemon/src/requests.cpp
@@ -0,0 +1,613 @@
+#include "requests.h"
+
+#include "endivequay/digest.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace endivequay {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::string_view servicePrefix = "/s/";
+constexpr std::string_view keyHeader = "Endivequay-Key";
+constexpr std::string_view operationHeader = "Endivequay-Operation";
+constexpr std::string_view deadlineHeader = "Endivequay-Deadline-Ms";
+constexpr std::string_view teamHeader = "Endivequay-Team";
+constexpr std::string_view requestHeader = "Endivequay-Request";
+constexpr std::string_view outcomeHeader = "Endivequay-Outcome";
+constexpr std::string_view hopHeader = "Endivequay-Hop";
+constexpr std::string_view homeHeader = "Endivequay-Home";
+// Time for the answer to travel back, kept off the deadline that is told to others.
+constexpr Interval answerMargin = 20ms;
+
+constexpr std::array ownHeaders { keyHeader, operationHeader, deadlineHeader, teamHeader,
+    requestHeader, hopHeader, homeHeader };
+
+HttpReply systemReply(
+    int status, std::string_view outcome, std::string_view reason, Interval retryAfter)
+{
+    nlohmann::json body { { "outcome", outcome }, { "reason", reason } };
+    body["retry_after_ms"]
+        = std::chrono::duration_cast<std::chrono::milliseconds>(retryAfter).count();
+    HttpReply reply = jsonReply(status, body.dump());
+    reply.headers.emplace_back(outcomeHeader, outcome);
+    return reply;
+}
+
+HttpReply notRun(int status, std::string_view reason, Interval retryAfter = {})
+{
+    return systemReply(status, "not-run", reason, retryAfter);
+}
+
+HttpReply unknown(int status, std::string_view reason)
+{
+    return systemReply(status, "unknown", reason, {});
+}
+
+std::optional<long> parseCount(std::string_view text)
+{
+    long value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc() || end != text.data() + text.size() || value < 0)
+        return std::nullopt;
+    return value;
+}
+
+bool startsWithIgnoringCase(std::string_view text, std::string_view prefix)
+{
+    return text.size() >= prefix.size() && sameHeader(text.substr(0, prefix.size()), prefix);
+}
+
+/// Whether a header is one that only the system sets, in any spelling that a lenient upstream could
+/// read as one ("endivequay_key").
+bool isOwnHeader(std::string name)
+{
+    std::ranges::replace(name, '_', '-');
+    return startsWithIgnoringCase(name, "Endivequay-");
+}
+
+bool headersWellFormed(const HttpRequest &request)
+{
+    for (const std::string_view name : ownHeaders) {
+        if (request.headerValues(name).size() > 1)
+            return false;
+    }
+    // A spelling with '_' is not one of ours, but may be read as one behind us.
+    return std::ranges::none_of(request.headers, [](const auto &header) {
+        return header.first.find('_') != std::string::npos && isOwnHeader(header.first);
+    });
+}
+
+/// Whether the key appears anywhere but in its header.
+bool keyLeaks(const HttpRequest &request, std::string_view key)
+{
+    const auto decoded = percentDecode(request.target);
+    if (!decoded || decoded->find(key) != std::string::npos
+        || request.target.find(key) != std::string::npos)
+        return true;
+    return std::ranges::any_of(request.headers, [&](const auto &header) {
+        return !sameHeader(header.first, keyHeader)
+            && (header.second.find(key) != std::string::npos
+                || header.first.find(key) != std::string::npos);
+    });
+}
+
+RequestResult resultOf(const UpstreamResponse &response)
+{
+    if (response.outcome == UpstreamOutcome::Answered)
+        return response.status == 503 ? RequestResult::Shed : RequestResult::Good;
+    if (response.failure == UpstreamFailure::Declined)
+        return RequestResult::Shed;
+    return response.failure == UpstreamFailure::Cancelled ? RequestResult::Cancelled
+                                                          : RequestResult::Failed;
+}
+
+Interval milliseconds(long count)
+{
+    return std::chrono::milliseconds(count);
+}
+
+long remainingMs(Instant deadline, Instant now)
+{
+    return std::max<long>(
+        1, std::chrono::duration_cast<std::chrono::milliseconds>(deadline - now).count());
+}
+
+std::string outcomeOf(const HttpReply &reply)
+{
+    for (const auto &[name, value] : reply.headers) {
+        if (sameHeader(name, outcomeHeader))
+            return value;
+    }
+    return "unknown";
+}
+
+} // namespace
+
+RequestHandler::RequestHandler(Node &node, Admission &admission)
+    : node_(node)
+    , admission_(admission)
+{ }
+
+HttpReply RequestHandler::handle(const HttpRequest &request)
+{
+    ++inProgress_;
+    HttpReply reply = handleCall(request);
+    --inProgress_;
+    node_.metrics().count("endivequay_requests_total",
+        fmt::format("status=\"{}\",outcome=\"{}\"", reply.status, outcomeOf(reply)));
+    node_.metrics().observe(
+        "endivequay_request_seconds", "", toSeconds(clock_.now() - request.receivedAt));
+    if (!accepting_)
+        reply.close = true;
+    return reply;
+}
+
+HttpReply RequestHandler::handleCall(const HttpRequest &request)
+{
+    Call call { request, node_.view(), nullptr, nullptr, {}, Hop::None, {}, RequestRate(1), {}, {},
+        {} };
+    call.requestId = fmt::format(
+        "{:08x}-{}", node_.identity().incarnation.value() & 0xffffffffU, ++lastRequest_);
+    if (auto refused = resolve(call))
+        return *std::move(refused);
+    const auto operation = request.header(operationHeader);
+    if (call.route->kind == RouteKind::Once && call.hop != Hop::Admitted) {
+        if (!operation)
+            return refuse(call, 409, "operation_required", {});
+        return runOnce(call, std::string(*operation));
+    }
+    if (auto refused = admit(call))
+        return *std::move(refused);
+    return run(call);
+}
+
+std::optional<HttpReply> RequestHandler::resolve(Call &call)
+{
+    if (!headersWellFormed(call.http))
+        return refuse(call, 400, "malformed_headers", {});
+    if (!accepting_)
+        return refuse(call, 503, "leaving", 1s);
+    if (!call.view)
+        return refuse(call, 503, "no_configuration", 1s);
+    if (auto refused = resolveRoute(call))
+        return refused;
+    call.deadline = call.http.receivedAt + call.route->maximumTime;
+    if (const auto wanted = call.http.header(deadlineHeader)) {
+        const auto count = parseCount(*wanted);
+        if (!count || *count == 0)
+            return refuse(call, 400, "malformed_deadline", {});
+        call.deadline = std::min(call.deadline, call.http.receivedAt + milliseconds(*count));
+    }
+    if (auto refused = call.http.header(hopHeader) ? authenticateHop(call) : authenticate(call))
+        return refused;
+    if (const Team *team = call.view->configuration->team(call.team))
+        call.weight = team->rate;
+    return checkFresh(call);
+}
+
+std::optional<HttpReply> RequestHandler::resolveRoute(Call &call)
+{
+    const std::string_view path = call.http.path();
+    const std::string_view rest = path.substr(std::min(servicePrefix.size(), path.size()));
+    const auto slash = rest.find('/');
+    const std::string_view name = rest.substr(0, slash);
+    call.service = call.view->configuration->service(ServiceId(std::string(name)));
+    if (call.service == nullptr || slash == std::string_view::npos)
+        return refuse(call, 404, "no_service", {});
+    const RouteMatch match = matchRoute(*call.service, call.http.method, rest.substr(slash));
+    if (match.outcome == RouteMatch::Outcome::BadPath)
+        return refuse(call, 400, "malformed_path", {});
+    if (match.outcome == RouteMatch::Outcome::NoRoute)
+        return refuse(call, 404, "no_route", {});
+    call.route = match.route;
+    call.upstreamTarget = call.http.target.substr(servicePrefix.size() + slash);
+    return std::nullopt;
+}
+
+std::optional<TeamId> RequestHandler::teamOf(
+    const ConfigView &view, const HttpRequest &request) const
+{
+    const auto key = request.header(keyHeader);
+    if (!key || key->empty())
+        return std::nullopt;
+    const auto owner = view.configuration->teamByKeyDigest(sha256Hex(*key));
+    return owner ? std::optional(owner->team->id) : std::nullopt;
+}
+
+std::optional<HttpReply> RequestHandler::authenticate(Call &call)
+{
+    const auto key = call.http.header(keyHeader);
+    if (key && !key->empty() && keyLeaks(call.http, *key))
+        return refuse(call, 400, "key_outside_header", {});
+    const std::string_view client = node_.settings().clientHeader.empty()
+        ? std::string_view(call.http.remoteAddress)
+        : call.http.header(node_.settings().clientHeader).value_or(call.http.remoteAddress);
+    if (const auto block = findBlock(*call.view, client)) {
+        const auto steering = node_.steering();
+        if (const auto found = steering->find(call.service->id); found != steering->end()) {
+            const SteeringView &view = found->second->view();
+            const RegionId &site = view.sites[block->site].home;
+            const RegionId own = call.view->configuration->regionOf(node_.identity().domain);
+            const Instant now = clock_.now();
+            call.home = isHome(own, site, call.service->id, block->block, view.shifts, now)
+                ? own
+                : homeRegion(site, call.service->id, block->block, view.shifts, now);
+        }
+    }
+    if (call.route->access == Access::Open)
+        return std::nullopt;
+    const auto team = teamOf(*call.view, call.http);
+    if (!team)
+        return refuse(call, 401, "key", {});
+    call.team = *team;
+    return std::nullopt;
+}
+
+std::string RequestHandler::hopProof(const HttpRequest &request, std::string_view kind,
+    std::string_view team, std::string_view operation) const
+{
+    const std::string text = fmt::format("hop\n{}\n{}\n{}\n{}\n{}\n{}", kind, request.method,
+        request.target, team, operation, sha256Hex(request.body));
+    return hmacSha256Hex(node_.settings().secret, text);
+}
+
+std::optional<HttpReply> RequestHandler::authenticateHop(Call &call)
+{
+    const std::string_view value = *call.http.header(hopHeader);
+    const auto colon = value.find(':');
+    const std::string_view kind = value.substr(0, colon);
+    const std::string team(call.http.header(teamHeader).value_or(""));
+    const std::string operation(call.http.header(operationHeader).value_or(""));
+    const bool known = kind == "issuer" || kind == "admitted";
+    if (!known || colon == std::string_view::npos
+        || !equalConstantTime(value.substr(colon + 1), hopProof(call.http, kind, team, operation)))
+        return refuse(call, 400, "malformed_hop", {});
+    call.hop = kind == "issuer" ? Hop::ToIssuer : Hop::Admitted;
+    call.team = TeamId(team);
+    if (const auto home = call.http.header(homeHeader))
+        call.home = RegionId(std::string(*home));
+    const bool keyed = call.route->access == Access::Keyed;
+    if (keyed && call.view->configuration->team(call.team) == nullptr)
+        return refuse(call, 401, "key", {});
+    return std::nullopt;
+}
+
+std::optional<HttpReply> RequestHandler::checkFresh(const Call &call)
+{
+    if (call.route->access == Access::Open)
+        return std::nullopt;
+    const auto policy = call.service->whenStale == WhenStale::Continue ? StalePolicy::Continue
+                                                                       : StalePolicy::Refuse;
+    bool serves = false;
+    {
+        const std::lock_guard lock(node_.tables().config.mutex);
+        serves = node_.tables().config.freshness.servesKeyed(policy, clock_.now());
+    }
+    if (serves)
+        return std::nullopt;
+    return refuse(call, 503, "stale_configuration", 1s);
+}
+
+std::optional<HttpReply> RequestHandler::admit(const Call &call)
+{
+    if (call.hop == Hop::Admitted || node_.settings().policyOff)
+        return std::nullopt;
+    const RegionId own = call.view->configuration->regionOf(node_.identity().domain);
+    if (!call.team.value().empty()
+        && !node_.acquireRate(teamResource(call.team), RequestCount(1), call.deadline)) {
+        node_.metrics().count(
+            "endivequay_limited_total", fmt::format("team=\"{}\"", call.team.value()));
+        const Interval refill = fromSeconds(1 / std::max(call.weight.value(), 0.001));
+        return refuse(call, 429, "limit", refill);
+    }
+    if (call.home && *call.home != own
+        && !node_.acquireRate(shiftResource(call.service->id), RequestCount(1), call.deadline))
+        return refuse(call, 503, "shift_cap", 1s);
+    return std::nullopt;
+}
+
+RequestKind RequestHandler::kindOf(const Call &call) const
+{
+    return call.route->kind == RouteKind::Once ? RequestKind::Once : RequestKind::Idempotent;
+}
+
+HttpReply RequestHandler::run(const Call &call)
+{
+    node_.timeline().record(EventId::RequestAdmitted,
+        { { "request", call.requestId }, { "team", call.team.value() },
+            { "service", call.service->id.value() } });
+    HttpReply reply = attempt(call);
+    node_.timeline().record(EventId::RequestAnswered,
+        { { "request", call.requestId }, { "status", std::to_string(reply.status) },
+            { "outcome", outcomeOf(reply) } });
+    return reply;
+}
+
+HttpReply RequestHandler::runOnce(const Call &call, const std::string &operation)
+{
+    const std::string digest = sha256Hex(
+        fmt::format("{}\n{}\n{}", call.http.method, call.upstreamTarget, call.http.body));
+    const BeginDecision decision = [&] {
+        const std::lock_guard lock(node_.tables().operations.mutex);
+        return node_.tables().operations.table.begin(operation, call.team, digest, clock_.now());
+    }();
+    if (const auto *now = std::get_if<RunNow>(&decision))
+        return runOperation(call, now->handle);
+    if (const auto *wait = std::get_if<WaitForCopy>(&decision))
+        return awaitCopy(call, wait->ticket);
+    if (const auto *issuer = std::get_if<PassToIssuer>(&decision))
+        return passToIssuer(call, *issuer);
+    if (const auto *replay = std::get_if<Replay>(&decision)) {
+        if (replay->answer)
+            return { replay->answer->status, replay->answer->headers, replay->answer->body, false };
+        return systemReply(409, toString(replay->outcome), "answer_not_kept", {});
+    }
+    const auto &refused = std::get<RefuseOperation>(decision);
+    if (refused.outcome == Outcome::NotRun)
+        return refuse(call, refused.reason == OperationRefusal::MemoryFull ? 503 : 409,
+            toString(refused.reason), {});
+    node_.timeline().record(EventId::OperationUnknown,
+        { { "request", call.requestId }, { "reason", std::string(toString(refused.reason)) } });
+    return unknown(409, toString(refused.reason));
+}
+
+HttpReply RequestHandler::runOperation(const Call &call, OperationHandle handle)
+{
+    node_.timeline().record(EventId::OperationStarted, { { "request", call.requestId } });
+    std::optional<HttpReply> refused = admit(call);
+    HttpReply reply = refused ? *std::move(refused) : run(call);
+    const std::string text = outcomeOf(reply);
+    const Outcome outcome = text == "done" ? Outcome::Done
+        : text == "not-run"                ? Outcome::NotRun
+                                           : Outcome::Unknown;
+    {
+        Tables::Operations &operations = node_.tables().operations;
+        const std::lock_guard lock(operations.mutex);
+        auto finished = operations.table.finish(
+            handle, outcome, { reply.status, reply.headers, reply.body }, clock_.now());
+        if (finished) {
+            for (const WaitTicket ticket : finished->waiters)
+                operations.finished[ticket] = *finished;
+        }
+    }
+    node_.tables().operations.changed.notify_all();
+    return reply;
+}
+
+HttpReply RequestHandler::awaitCopy(const Call &call, WaitTicket ticket)
+{
+    Tables::Operations &operations = node_.tables().operations;
+    std::unique_lock lock(operations.mutex);
+    while (clock_.now() < call.deadline && !call.http.cancelled.stop_requested()) {
+        const auto found = operations.finished.find(ticket);
+        if (found != operations.finished.end()) {
+            const FinishedOperation finished = std::move(found->second);
+            operations.finished.erase(found);
+            return { finished.answer->status, finished.answer->headers, finished.answer->body,
+                false };
+        }
+        operations.changed.wait_for(lock, 50ms);
+    }
+    operations.table.cancelWait(ticket);
+    operations.finished.erase(ticket);
+    return unknown(504, "copy_still_running");
+}
+
+HttpReply RequestHandler::passToIssuer(const Call &call, const PassToIssuer &issuer)
+{
+    bool known = false;
+    {
+        const std::lock_guard lock(node_.tables().members.mutex);
+        const Member *member = node_.tables().members.view.find(issuer.issuer);
+        known = member != nullptr && member->identity.address == issuer.address;
+    }
+    if (!known || call.hop != Hop::None)
+        return unknown(409, "issuer_unreachable");
+    return passOn(call, issuer.address, Hop::ToIssuer);
+}
+
+HttpReply RequestHandler::attempt(const Call &call)
+{
+    admission_.requestStarted(call.service->id, call.team);
+    for (;;) {
+        SlotRequest wanted;
+        wanted.service = call.service->id;
+        wanted.team = call.team;
+        wanted.weight = call.weight;
+        wanted.deadline = call.deadline;
+        wanted.deferrable = call.route->kind == RouteKind::Deferrable;
+        wanted.hops = call.hop == Hop::Admitted ? 1 : 0;
+        wanted.bytes = call.http.body.size() + 4096;
+        wanted.home = call.home;
+        wanted.cancelled = call.http.cancelled;
+        const SlotDecision decision = admission_.acquire(wanted);
+        if (const auto *other = std::get_if<PassToInstance>(&decision))
+            return passOn(call, other->address, Hop::Admitted);
+        if (const auto *refusal = std::get_if<Refusal>(&decision)) {
+            const int status = refusal->reason == RefusalReason::Deadline ? 504 : 503;
+            return refuse(call, status, refusalName(refusal->reason),
+                std::max(refusal->retryAt - clock_.now(), Interval::zero()));
+        }
+        const auto &grant = std::get<SlotGrant>(decision);
+        const RegionId own = call.view->configuration->regionOf(node_.identity().domain);
+        const Region *region = call.view->configuration->region(own);
+        if (region != nullptr && region->capacity
+            && !node_.acquireRate(regionResource(own), RequestCount(1), call.deadline)) {
+            admission_.finish(call.service->id, grant, RequestResult::Cancelled);
+            return refuse(call, 503, "region_capacity", 1s);
+        }
+        RequestResult result = RequestResult::Failed;
+        bool retry = false;
+        HttpReply reply = send(call, grant, result, retry);
+        admission_.finish(call.service->id, grant, result);
+        if (!retry || clock_.now() >= call.deadline
+            || !admission_.tryRetry(call.service->id, call.team))
+            return reply;
+        node_.metrics().count("endivequay_retries_total");
+    }
+}
+
+HttpReply RequestHandler::send(
+    const Call &call, const SlotGrant &grant, RequestResult &result, bool &retry)
+{
+    UpstreamRequest request;
+    request.address = grant.address;
+    request.method = call.http.method;
+    request.path = call.upstreamTarget;
+    request.body = call.http.body;
+    request.deadline = std::min(call.deadline, grant.startedAt + maxRequestTime);
+    request.kind = kindOf(call);
+    request.cancelled = call.http.cancelled;
+    for (const auto &header : call.http.headers) {
+        if (!isOwnHeader(header.first))
+            request.headers.push_back(header);
+    }
+    request.headers.emplace_back(teamHeader, call.team.value());
+    request.headers.emplace_back(requestHeader, call.requestId);
+    request.headers.emplace_back(
+        deadlineHeader, std::to_string(remainingMs(request.deadline - answerMargin, clock_.now())));
+    if (const auto operation = call.http.header(operationHeader))
+        request.headers.emplace_back(operationHeader, *operation);
+    UpstreamResponse response = client_.send(request);
+    result = resultOf(response);
+    const bool shed = response.outcome == UpstreamOutcome::Answered && response.status == 503
+        && request.kind == RequestKind::Idempotent;
+    retry = (response.mayRetry(request.kind) && response.failure != UpstreamFailure::Cancelled
+                && response.failure != UpstreamFailure::TooLarge)
+        || shed;
+    if (response.outcome == UpstreamOutcome::Answered) {
+        HttpReply reply { response.status, std::move(response.headers), std::move(response.body),
+            false };
+        std::erase_if(reply.headers, [](const auto &header) { return isOwnHeader(header.first); });
+        reply.headers.emplace_back(outcomeHeader, "done");
+        return reply;
+    }
+    if (response.outcome == UpstreamOutcome::NotRun)
+        return refuse(call, 503, "upstream_not_run", 1s);
+    node_.timeline().record(EventId::OperationUnknown,
+        { { "request", call.requestId }, { "upstream", grant.upstream.value() },
+            { "reason", toString(response.reason) } });
+    return unknown(response.failure == UpstreamFailure::Deadline ? 504 : 502, "answer_lost");
+}
+
+HttpReply RequestHandler::passOn(const Call &call, const Address &address, Hop hop)
+{
+    const std::string kind = hop == Hop::ToIssuer ? "issuer" : "admitted";
+    const std::string operation(call.http.header(operationHeader).value_or(""));
+    UpstreamRequest request;
+    request.address = address;
+    request.method = call.http.method;
+    request.path = call.http.target;
+    request.body = call.http.body;
+    request.deadline = call.deadline;
+    request.kind = kindOf(call);
+    request.cancelled = call.http.cancelled;
+    for (const auto &header : call.http.headers) {
+        if (!isOwnHeader(header.first))
+            request.headers.push_back(header);
+    }
+    request.headers.emplace_back(teamHeader, call.team.value());
+    request.headers.emplace_back(
+        deadlineHeader, std::to_string(remainingMs(call.deadline - answerMargin, clock_.now())));
+    if (!operation.empty())
+        request.headers.emplace_back(operationHeader, operation);
+    if (call.home)
+        request.headers.emplace_back(homeHeader, call.home->value());
+    request.headers.emplace_back(
+        hopHeader, kind + ":" + hopProof(call.http, kind, call.team.value(), operation));
+    node_.timeline().record(EventId::RequestPassedOn,
+        { { "request", call.requestId }, { "peer", address.value() }, { "kind", kind } });
+    return fromPeer(client_.send(request), address);
+}
+
+HttpReply RequestHandler::fromPeer(const UpstreamResponse &response, const Address &peer)
+{
+    if (response.outcome == UpstreamOutcome::Answered)
+        return { response.status, response.headers, response.body, false };
+    if (response.outcome == UpstreamOutcome::NotRun)
+        return notRun(503, "peer_unreachable", 1s);
+    node_.timeline().record(EventId::OperationUnknown,
+        { { "peer", peer.value() }, { "reason", toString(response.reason) } });
+    return unknown(504, "answer_lost");
+}
+
+HttpReply RequestHandler::refuse(
+    const Call &call, int status, std::string_view reason, Interval retryAfter)
+{
+    node_.timeline().record(EventId::RequestRefused,
+        { { "request", call.requestId }, { "team", call.team.value() },
+            { "reason", std::string(reason) },
+            { "path", std::string(call.http.path().substr(0, 200)) } });
+    HttpReply reply = notRun(status, reason, retryAfter);
+    // A connection with a malformed request may carry more of the same.
+    reply.close = status == 400;
+    return reply;
+}
+
+HttpReply RequestHandler::issueOperation(const HttpRequest &request)
+{
+    Call call { request, node_.view(), nullptr, nullptr, {}, Hop::None, {}, RequestRate(1), {}, {},
+        {} };
+    if (!headersWellFormed(request))
+        return refuse(call, 400, "malformed_headers", {});
+    if (!accepting_ || node_.isLeaving())
+        return refuse(call, 503, "leaving", 1s);
+    if (!call.view)
+        return refuse(call, 503, "no_configuration", 1s);
+    const auto team = teamOf(*call.view, request);
+    if (!team)
+        return refuse(call, 401, "key", {});
+    Tables::Operations &operations = node_.tables().operations;
+    const std::lock_guard lock(operations.mutex);
+    const Instant now = clock_.now();
+    const auto issued = operations.table.issue(*team, now);
+    if (!issued)
+        return notRun(503, "operations_full", 1s);
+    const nlohmann::json body { { "operation", issued->id },
+        { "expires_in_ms", remainingMs(issued->deadline, now) },
+        { "instance", node_.identity().address.value() } };
+    return jsonReply(200, body.dump());
+}
+
+HttpReply RequestHandler::lookup(const HttpRequest &request)
+{
+    const auto view = node_.view();
+    const auto steering = node_.steering();
+    const auto name = request.parameter("service");
+    const auto client = request.parameter("client").value_or(request.remoteAddress);
+    if (!name)
+        return notRun(400, "parameter 'service' is missing");
+    if (!parseIpv4(client))
+        return notRun(400, "parameter 'client' is not an IPv4 address");
+    const Service *service = view ? view->configuration->service(ServiceId(*name)) : nullptr;
+    const auto found = steering->find(ServiceId(*name));
+    if (service == nullptr || found == steering->end())
+        return notRun(view ? 404 : 503, view ? "no_service" : "no_configuration", 1s);
+    const Ipv4 address = *parseIpv4(client);
+    const auto match = findBlock(*view, client);
+    // A client outside of all blocks is steered from this instance's own site.
+    const auto ownSite = [&]() -> SiteIndex {
+        const auto &sites = view->configuration->sites();
+        const auto own = std::ranges::find(sites, node_.identity().domain, &Site::failureDomain);
+        return static_cast<SiteIndex>(own == sites.end() ? 0 : own - sites.begin());
+    };
+    const ClientBlock block = match ? match->block : ClientBlock { address, 32 };
+    const auto choices
+        = found->second->choose(block, match ? match->site : ownSite(), clock_.now());
+    std::string body = fmt::format("{{\"lifetime_ms\":{},\"choices\":[",
+        std::chrono::duration_cast<std::chrono::milliseconds>(service->lookupLifetime).count());
+    for (const Choice &choice : choices)
+        body += fmt::format("{}{{\"instance\":\"{}\",\"failure_domain\":\"{}\"}}",
+            &choice == choices.data() ? "" : ",", choice.address.value(), choice.domain.value());
+    return jsonReply(200, body + "]}");
+}
+
+} // namespace endivequay
--- /dev/null
+++ b/daemon/src/workerpool.h
@@ -0,0 +1,40 @@
+#ifndef ENDIVEQUAY_DAEMON_WORKERPOOL_H
+#define ENDIVEQUAY_DAEMON_WORKERPOOL_H
+
+#include <condition_variable>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace endivequay {
+
+/// Threads that run blocking work from a bounded queue.
+class WorkerPool
+{
+public:
+    WorkerPool(int threads, std::size_t maxQueued);
+    /// Runs what is queued, then ends.
+    ~WorkerPool();
+
+    WorkerPool(const WorkerPool &) = delete;
+    WorkerPool &operator=(const WorkerPool &) = delete;
+
+    /// False if the queue is full.
+    bool tryRun(std::function<void()> work);
+
+private:
+    void work();
+
+    const std::size_t maxQueued_;
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::deque<std::function<void()>> queue_;
+    bool ending_ = false;
+    std::vector<std::thread> threads_;
+};
+
+} // namespace endivequay
+
+#endif
