Implement the policy package

Change: lookup table as a persistent trie of 8 + 8 bits with range leaves, planned shifts in both directions, steering by weighted rendezvous, upstream view, start-time fair admission queue, retry and link budgets, forwarding decision. SharedLookupTable copies its pointer under a mutex, because ThreadSanitizer reports a race in std::atomic<std::shared_ptr> of libstdc++ 12.

--- a/policy/include/endivequay/admissionqueue.h
+++ b/policy/include/endivequay/admissionqueue.h
@@ -76,13 +76,12 @@
     {
         WaitingRequest request;
         Instant arrivedAt;
-        std::uint64_t sequence = 0;
     };
     struct Team
     {
         std::vector<Entry> waiting;
         double weight = 1;
-        double finishTag = 0;
+        double startTag = 0; ///< Of the next request; the finish tag of the last one while idle.
     };
 
     Refusal refusal(RefusalReason reason, const Team &team, Instant now) const;
@@ -92,7 +91,6 @@
     std::size_t size_ = 0;
     std::map<TeamId, Team> teams_;
     double virtualTime_ = 0;
-    std::uint64_t nextSequence_ = 0;
     RequestRate serviceRate_ { 0 };
 };
 
--- a/policy/include/endivequay/lookuptable.h
+++ b/policy/include/endivequay/lookuptable.h
@@ -3,9 +3,9 @@
 
 #include "endivequay/result.h"
 
-#include <atomic>
 #include <cstdint>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <span>
 #include <string>
@@ -88,6 +88,9 @@
 
 /// The table in force, shared by threads. Readers are never stopped by a delta: they keep the
 /// version that they loaded. Writers must be serialized by the caller.
+///
+/// A mutex covers the copy of the pointer only: ThreadSanitizer reports a data race between load
+/// and store in std::atomic<std::shared_ptr> of libstdc++ 12.
 class SharedLookupTable
 {
 public:
@@ -97,7 +100,8 @@
     void store(LookupTable table);
 
 private:
-    std::atomic<std::shared_ptr<const LookupTable>> table_;
+    mutable std::mutex mutex_;
+    std::shared_ptr<const LookupTable> table_;
 };
 
 } // namespace endivequay
--- a/policy/include/endivequay/shift.h
+++ b/policy/include/endivequay/shift.h
@@ -20,7 +20,7 @@
 /// Position of a block in the order in which a service's blocks move, from 0 to below 1.
 double shiftPosition(const ServiceId &service, const ClientBlock &block);
 
-/// An operator's planned move of a fraction of a region's blocks to another region.
+/// An operator's planned move of a fraction of a region's blocks to another region, or back.
 ///
 /// The move runs in steps of cap / 8, one every (window + 12 s) / 3. A step takes effect over 12 s
 /// (skew and cached answers), so at most 4 steps touch any window: half of the cap.
@@ -28,18 +28,19 @@
 {
     RegionId from;
     RegionId to;
-    double fraction = 0; ///< Of the blocks of \a from to be moved, 0 to 1.
+    double initialFraction = 0; ///< Of the blocks of \a from moved before the plan, 0 to 1.
+    double fraction = 0; ///< Of the blocks of \a from moved at the end, 0 to 1.
     double cap = 0; ///< Largest fraction of the service's traffic to move per window, 0 to 1.
     Interval window {};
     Instant adoptedAt; ///< When this instance applied the plan; the first step is at that time.
 
-    /// Fails on a fraction or cap outside of 0 to 1, a window that is not positive, or a plan whose
-    /// regions are the same.
+    /// Fails on a fraction outside of 0 to 1, a cap that is not above 0 and at most 1, a window
+    /// that is not positive, or regions that are the same.
     Status validate() const;
 
     double stepFraction() const { return cap / 8; }
     Interval stepInterval() const { return (window + shiftSkew + lookupLifetime) / 3; }
-    /// Number of steps until the whole fraction has moved.
+    /// Number of steps from the initial to the final fraction.
     int stepCount() const;
     /// Steps applied at \a now, 0 before adoption.
     int stepsApplied(Instant now) const;
@@ -52,7 +53,8 @@
 };
 
 /// Home region of a block at \a now under \a plans. \a siteHome is the home of the block's site.
-/// Plans of the same service that run at the same time must share one cap between them.
+/// At most one plan may leave a region. Plans of the same service that run at the same time must
+/// share one cap between them.
 RegionId homeRegion(const RegionId &siteHome, const ServiceId &service, const ClientBlock &block,
     std::span<const ShiftPlan> plans, Instant now);
 
--- a/policy/include/endivequay/steering.h
+++ b/policy/include/endivequay/steering.h
@@ -70,7 +70,8 @@
 class Steering
 {
 public:
-    /// Fails on an index out of range, a site without one delay per domain or an invalid shift.
+    /// Fails on an index out of range, a site without one delay per domain, an invalid shift or two
+    /// shifts from one region.
     static Result<Steering> create(SteeringView view);
 
     /// At most \a count choices, best first: two instances of the first domain, then one of each
