--- a/config/src/blocks.cpp
+++ b/config/src/blocks.cpp
@@ -119,16 +119,15 @@
         faults.add(path, "has unordered sites");
     for (std::size_t i = 0; i < group.blocks.size(); ++i) {
         const ClientBlock &block = group.blocks[i];
-        const std::string_view site
-            = block.site < group.sites.size() ? group.sites[block.site].value() : "";
-        const bool valid = !site.empty() && block.prefixLength <= 32
+        const SiteId site = block.site < group.sites.size() ? group.sites[block.site] : SiteId();
+        const bool valid = !site.value().empty() && block.prefixLength <= 32
             && (block.network & ~maskOf(block.prefixLength)) == 0
             && block.network >> 24 == group.firstOctet;
         if (!valid)
             faults.add(path, "has a block that does not belong to its group");
         if (i == 0 || position(group.blocks[i - 1]) < position(block))
             continue;
-        faults.add(fmt::format("{}.{}", path, site),
+        faults.add(fmt::format("{}.{}", path, site.value()),
             fmt::format("{} is listed twice", toText({ block.network, block.prefixLength })));
     }
 }
--- a/config/src/changes.cpp
+++ b/config/src/changes.cpp
@@ -215,9 +215,11 @@
         const auto both = unionOfRegions(*base, *target);
         if (!both)
             return both.lastReason();
-        if (!accept({ { { "regions", *both } }, {} }))
-            return base.lastReason();
-        std::ranges::rotate(remaining, remaining.begin() + 1);
+        if (*both != whole.puts.at("regions")) {
+            if (!accept({ { { "regions", *both } }, {} }))
+                return base.lastReason();
+            std::rotate(remaining.begin(), remaining.begin() + 1, remaining.end());
+        }
     }
     while (!remaining.empty()) {
         DocumentChange change = takeChange(*base, remaining, limit);
--- a/config/src/configuration.cpp
+++ b/config/src/configuration.cpp
@@ -271,9 +271,9 @@
 
 std::optional<double> Configuration::linkBudget(const RegionId &from, const RegionId &to) const
 {
-    const auto [a, b] = std::minmax(from, to);
-    const auto found = std::ranges::find_if(
-        topology().links, [&](const LinkBudget &link) { return link.a == a && link.b == b; });
+    const auto wanted = orderedPair(from, to);
+    const auto found = std::ranges::find_if(topology().links,
+        [&](const LinkBudget &link) { return orderedPair(link.a, link.b) == wanted; });
     return found == topology().links.end() ? std::nullopt : std::optional(found->bytesPerSecond);
 }
 
