Rename types of config that clash with another package

Cause: packages share one namespace; equal names with different layouts break the one-definition rule. Change: names only. Conclusion: all packages can be linked into one binary.

--- a/config/include/endivequay/configuration.h
+++ b/config/include/endivequay/configuration.h
@@ -66,13 +66,13 @@
 };
 
 /// Bytes per second that requests between two regions may use, in each direction.
-struct LinkBudget
+struct LinkLimit
 {
     RegionId a;
     RegionId b;
     double bytesPerSecond = 0;
 
-    bool operator==(const LinkBudget &) const = default;
+    bool operator==(const LinkLimit &) const = default;
 };
 
 /// The content of the document "regions".
@@ -83,7 +83,7 @@
     std::vector<Site> sites; ///< Never empty when there are domains: defaults are filled in.
     std::vector<RegionDelay> regionDelays;
     std::vector<DomainDelay> domainDelays;
-    std::vector<LinkBudget> links;
+    std::vector<LinkLimit> links;
 
     bool operator==(const Topology &) const = default;
 };
@@ -122,7 +122,7 @@
     bool operator==(const Route &) const = default;
 };
 
-/// Moves the home of a fraction of the client blocks of a region, see ShiftPlan.
+/// Moves the home of a fraction of the client blocks of a region, see ShiftSteps.
 struct PlannedShift
 {
     RegionId from;
@@ -184,13 +184,13 @@
 };
 
 /// Callers with IPv4 addresses in network/prefixLength, 8 bytes each.
-struct ClientBlock
+struct ClientBlockEntry
 {
     std::uint32_t network = 0; ///< Host byte order, bits after the prefix are 0.
     std::uint16_t site = 0; ///< Index into ClientBlockGroup::sites.
     std::uint8_t prefixLength = 0;
 
-    bool operator==(const ClientBlock &) const = default;
+    bool operator==(const ClientBlockEntry &) const = default;
 };
 
 /// The content of a document "blocks/<first octet>".
@@ -201,7 +201,7 @@
 {
     std::uint8_t firstOctet = 0;
     std::vector<SiteId> sites; ///< Ascending.
-    std::vector<ClientBlock> blocks; ///< Ascending by network, then prefix length.
+    std::vector<ClientBlockEntry> blocks; ///< Ascending by network, then prefix length.
 
     bool operator==(const ClientBlockGroup &) const = default;
 };
@@ -375,14 +375,14 @@
 std::vector<Error> warnings(const Configuration &configuration);
 
 /// How a planned shift reaches its target without leaving the cap (section 3.5 of the design page).
-struct ShiftPlan
+struct ShiftSteps
 {
     std::vector<double> fractions; ///< Fraction after each step; the last one is the target.
     Interval pause {}; ///< Between steps: (window + 12 s) / 3.
 };
 
 /// Steps from the fraction in force to \a target, each at most an eighth of the cap.
-Result<ShiftPlan> planShift(const Service &service, double target);
+Result<ShiftSteps> planShift(const Service &service, double target);
 
 } // namespace endivequay
 
--- a/config/src/blocks.cpp
+++ b/config/src/blocks.cpp
@@ -37,7 +37,7 @@
     return prefixLength == 0 ? 0 : ~std::uint32_t(0) << (32 - prefixLength);
 }
 
-auto position(const ClientBlock &block)
+auto position(const ClientBlockEntry &block)
 {
     return std::tuple(block.network, block.prefixLength);
 }
@@ -99,11 +99,11 @@
         ClientBlockGroup group { octet, {}, std::move(blocks) };
         std::ranges::sort(group.blocks, {}, position);
         std::set<std::uint16_t> used;
-        for (const ClientBlock &block : group.blocks)
+        for (const ClientBlockEntry &block : group.blocks)
             used.insert(block.site);
         for (std::uint16_t site : used)
             group.sites.push_back(sites_[site]);
-        for (ClientBlock &block : group.blocks)
+        for (ClientBlockEntry &block : group.blocks)
             block.site = static_cast<std::uint16_t>(
                 std::ranges::lower_bound(group.sites, sites_[block.site]) - group.sites.begin());
         checkGroup(group, path, faults);
@@ -118,7 +118,7 @@
     if (std::ranges::adjacent_find(group.sites, std::ranges::greater_equal()) != group.sites.end())
         faults.add(path, "has unordered sites");
     for (std::size_t i = 0; i < group.blocks.size(); ++i) {
-        const ClientBlock &block = group.blocks[i];
+        const ClientBlockEntry &block = group.blocks[i];
         const SiteId site = block.site < group.sites.size() ? group.sites[block.site] : SiteId();
         const bool valid = !site.value().empty() && block.prefixLength <= 32
             && (block.network & ~maskOf(block.prefixLength)) == 0
--- a/config/src/blocks.h
+++ b/config/src/blocks.h
@@ -41,7 +41,8 @@
 
 private:
     std::vector<SiteId> sites_;
-    std::map<std::uint8_t, std::vector<ClientBlock>> blocks_; ///< Sites are indexes into sites_.
+    std::map<std::uint8_t, std::vector<ClientBlockEntry>>
+        blocks_; ///< Sites are indexes into sites_.
 };
 
 /// Records what is wrong with a group that did not come from a BlockCollector.
--- a/config/src/changes.cpp
+++ b/config/src/changes.cpp
@@ -262,14 +262,14 @@
     return list;
 }
 
-Result<ShiftPlan> planShift(const Service &service, double target)
+Result<ShiftSteps> planShift(const Service &service, double target)
 {
     const std::string path = "services/" + service.id.value();
     if (!(target >= 0 && target <= 1))
         return Error { "config.shift", path, "the fraction must be from 0 to 1" };
     const double start = shiftedFraction(service);
     const double step = service.shiftCap.fraction / stepsPerCap;
-    ShiftPlan plan { {}, (service.shiftCap.window + spreadOfStep) / 3 };
+    ShiftSteps plan { {}, (service.shiftCap.window + spreadOfStep) / 3 };
     if (std::abs(target - start) <= fractionTolerance)
         return plan;
     if (step <= 0)
--- a/config/src/configuration.cpp
+++ b/config/src/configuration.cpp
@@ -273,7 +273,7 @@
 {
     const auto wanted = orderedPair(from, to);
     const auto found = std::ranges::find_if(topology().links,
-        [&](const LinkBudget &link) { return orderedPair(link.a, link.b) == wanted; });
+        [&](const LinkLimit &link) { return orderedPair(link.a, link.b) == wanted; });
     return found == topology().links.end() ? std::nullopt : std::optional(found->bytesPerSecond);
 }
 
--- a/config/src/reader.cpp
+++ b/config/src/reader.cpp
@@ -36,7 +36,7 @@
     return { Id(a), Id(b), reader.interval("delay_ms", 1ms) };
 }
 
-LinkBudget readLink(const json &value, const std::string &path, Faults &faults)
+LinkLimit readLink(const json &value, const std::string &path, Faults &faults)
 {
     const ObjectReader reader(value, path, linkFields, faults);
     const auto [a, b] = reader.pair("between");
--- a/config/src/writer.cpp
+++ b/config/src/writer.cpp
@@ -66,7 +66,7 @@
     return delayToJson(delay);
 }
 
-json toJson(const LinkBudget &link)
+json toJson(const LinkLimit &link)
 {
     return { { "between", json::array({ link.a.value(), link.b.value() }) },
         { "bytes_per_s", toNumber(link.bytesPerSecond) } };
@@ -149,7 +149,7 @@
 
 void addTexts(const ClientBlockGroup &group, BlockTexts &texts)
 {
-    for (const ClientBlock &block : group.blocks)
+    for (const ClientBlockEntry &block : group.blocks)
         texts[group.sites[block.site].value()].push_back(
             toText({ block.network, block.prefixLength }));
 }
--- a/config/test/configuration_test.cpp
+++ b/config/test/configuration_test.cpp
@@ -254,10 +254,10 @@
     const auto configuration = Configuration::fromJson(value.dump());
     CHECK(configuration.hasValue());
     LONGS_EQUAL(count, configuration.value()->clientBlockCount());
-    LONGS_EQUAL(8, sizeof(ClientBlock));
+    LONGS_EQUAL(8, sizeof(ClientBlockEntry));
     std::size_t bytes = 0;
     for (const auto &[octet, group] : configuration.value()->clientBlocks())
-        bytes += group->blocks.capacity() * sizeof(ClientBlock);
+        bytes += group->blocks.capacity() * sizeof(ClientBlockEntry);
     CHECK(bytes <= count * 8);
     const auto reread = Configuration::fromDocuments(configuration.value()->toDocuments());
     CHECK(reread.hasValue());
