--- a/coordination/include/endivequay/ledger.h
+++ b/coordination/include/endivequay/ledger.h
@@ -54,17 +54,18 @@
         Instant now, std::optional<Incarnation> keeper, const Fits &fits)
     {
         observeTime(now);
-        const CellSet given = unusedCells();
-        if (given.none() || !fits(usableCells(now)))
+        const auto given = unusedCells();
+        if (given.second.none() || !fits(usableCells(now)))
             return {};
         return reports(now, given, keeper);
     }
 
 private:
     void observeTime(Instant now);
-    CellSet unusedCells() const;
+    /// Released cells of the latest release, with its revision.
+    std::pair<Revision, CellSet> unusedCells() const;
     std::vector<ShareOutgoing> reports(
-        Instant now, const CellSet &given, std::optional<Incarnation> keeper);
+        Instant now, const std::pair<Revision, CellSet> &given, std::optional<Incarnation> keeper);
 
     FailureDomainId domain_;
     Incarnation self_;
@@ -74,6 +75,7 @@
     Instant lastTick_;
     Instant readNeededSince_; ///< Cells are usable only after a ledger read started since then.
     bool mustRead_ = false;
+    bool reclaimPossible_ = false; ///< Paused so long that the cells may have been reclaimed.
     bool leaving_ = false;
     std::pair<Revision, CellSet> lastReport_;
     Instant nextReportAt_ {};
@@ -129,17 +131,22 @@
         Instant since; ///< Start of this keeper's observation of the owner.
         std::optional<Instant> endedAt; ///< Since when a proof of its end has held.
     };
-    using Members = std::map<Incarnation, LedgerMember>;
 
-    void observe(Instant now, const Members &members, const std::optional<PlatformList> &list);
+    void observe(Instant now, const std::vector<LedgerMember> &members,
+        const std::optional<PlatformList> &list);
     bool provedEnded(Incarnation owner, const CellOwner &details, const Evidence &evidence,
-        Instant now, const Members &members, const std::optional<PlatformList> &list) const;
+        Instant now, const std::vector<LedgerMember> &members,
+        const std::optional<PlatformList> &list) const;
     bool reclaimable(Incarnation owner, Instant now) const;
-    std::map<Incarnation, int> targets(const std::map<Incarnation, int> &counts) const;
-    std::vector<ShareOutgoing> releaseRequests(Instant now, const CellSet &wanted);
-    std::optional<LedgerWrite> planWrite(Instant now, const Members &receivers,
-        const CellSet &movable, std::map<Incarnation, int> shortage, bool complete,
-        const std::optional<PlatformList> &list);
+    /// Free, released and reclaimable cells.
+    CellSet movableCells(Instant now) const;
+    /// Held cells of each receiver above its target; negative if it is to get some.
+    std::map<Incarnation, int> surpluses(
+        const std::vector<LedgerMember> &receivers, const CellSet &movable) const;
+    std::vector<ShareOutgoing> releaseRequests(
+        Instant now, const std::map<Incarnation, int> &surplus, const CellSet &movable);
+    CellLedger reassigned(const std::vector<LedgerMember> &receivers, const CellSet &movable,
+        std::map<Incarnation, int> surplus, const std::optional<PlatformList> &list) const;
 
     FailureDomainId domain_;
     Incarnation self_;
--- a/coordination/include/endivequay/shares.h
+++ b/coordination/include/endivequay/shares.h
@@ -57,6 +57,8 @@
     /// Slots or connections of an upstream in \a domain, one piece each.
     static ResourceDefinition slots(ResourceId id, SlotCount slots, FailureDomainId domain);
 
+    /// Cells that contain pieces, the same in every domain.
+    CellSet cells() const;
     /// Rate and burst of piece \a piece of the domain with index \a domainIndex.
     Allotment pieceAllotment(std::size_t domainIndex, int piece) const;
     /// Rate and burst of all pieces in \a cells of \a domain.
@@ -84,21 +86,24 @@
 class DefinitionHistory
 {
 public:
-    void adopt(const std::optional<ResourceDefinition> &definition, Instant now, Interval delay,
+    /// Returns false if the definition is the present one already.
+    bool adopt(const std::optional<ResourceDefinition> &definition, Instant now, Interval delay,
         RaiseRule rule);
     void setCells(const FailureDomainId &domain, const CellSet &cells);
+    /// Forgets definitions that no longer count.
     void expire(Instant now);
 
-    /// The definition adopted last; null if the resource was removed.
-    const ResourceDefinition *current() const;
-    std::uint64_t currentDigest() const { return entries_.empty() ? 0 : entries_.back().digest; }
-    Allotment allotmentAt(Instant now) const;
-    int piecesAt(Instant now) const;
-    /// Next instant after \a now at which an earlier definition stops counting.
-    std::optional<Instant> nextChange(Instant now) const;
-    /// The lowest allotment and pieces of \a cells under all definitions that still count.
-    std::pair<Allotment, int> lowestOf(
-        const FailureDomainId &domain, const CellSet &cells, Instant now) const;
+    /// The definition adopted last; empty if the resource was removed.
+    const std::optional<ResourceDefinition> &current() const { return entries_.back().definition; }
+    std::uint64_t currentDigest() const { return entries_.back().digest; }
+    Allotment allotmentAt(Instant at) const;
+    int piecesAt(Instant at) const;
+    /// Next instant after \a at at which an earlier definition stops counting.
+    Instant nextChange(Instant at) const;
+    /// True if nothing but a removal is left.
+    bool finished() const { return entries_.size() == 1 && !current(); }
+    /// The lowest allotment and pieces of \a cells under all definitions that count at \a at.
+    std::pair<Allotment, int> lowestOf(const CellSet &cells, Instant at) const;
 
 private:
     struct Entry
@@ -109,10 +114,11 @@
         int pieces = 0;
         Instant countsUntil = Instant::max();
     };
+    void measure(Entry &entry) const;
 
     FailureDomainId domain_;
     CellSet cells_;
-    std::vector<Entry> entries_;
+    std::vector<Entry> entries_ { Entry() };
 };
 
 /// Rate of events, averaged exponentially.
@@ -122,7 +128,7 @@
     void add(double count, Instant now);
     /// Events per second.
     double perSecond(Instant now) const;
-    /// True if nothing was added for some time.
+    /// True after a gap that is long for the past rate.
     bool idle(Instant now) const;
 
 private:
@@ -137,27 +143,36 @@
     CellLedger ledger;
 };
 
-/// Chooses whom to ask for a loan of one resource.
+/// Chooses whom to ask for loans of one resource, and when.
 class LenderChoice
 {
 public:
-    /// Owners of cells with pieces of \a definition, in the order of \a domains.
+    /// Takes the owners of cells with pieces of \a definition, in the order of \a domains.
     void setOwners(const ResourceDefinition &definition, const std::vector<DomainOwners> &domains,
         Incarnation self);
-    /// Up to \a count lenders: first those that another lender named, then owners in order,
-    /// starting after the last one asked and leaving out those that had nothing lately.
-    std::vector<Incarnation> next(
+    /// Starts a round: up to \a count lenders. First those that another lender named, then those of
+    /// the nearest domain, then the others in turn; those that had nothing lately are left out.
+    /// Empty if a round is in flight or the last one is too recent.
+    std::vector<Incarnation> startRound(
         std::size_t count, Instant now, const std::set<Incarnation> &suspects);
-    void onReply(Incarnation lender, bool granted, std::optional<Incarnation> holder,
-        Incarnation self, Instant now);
+    /// True while answers of the last round are awaited.
+    bool roundOpen(Instant now) const { return awaited_ > 0 && now < roundEndsAt_; }
+    void onReply(const LoanReply &reply, bool granted, Incarnation self, Instant now);
     std::size_t size() const { return lenders_.size(); }
 
 private:
+    std::vector<Incarnation> candidates(Instant now, const std::set<Incarnation> &suspects) const;
+
     std::vector<Incarnation> lenders_;
     std::size_t nearCount_ = 0; ///< Lenders of the nearest domain, at the front.
     std::size_t cursor_ = 0;
     std::vector<Incarnation> named_;
     std::map<Incarnation, Instant> emptyUntil_;
+    std::size_t awaited_ = 0;
+    bool fruitful_ = true; ///< The last round brought something or named a holder.
+    Interval interval_ = loanRoundInterval;
+    Instant nextRoundAt_ {};
+    Instant roundEndsAt_ {};
 };
 
 /// First attempts count as demand, repeated ones do not.
@@ -220,10 +235,9 @@
 private:
     struct Lent
     {
-        Incarnation borrower;
         Allotment amount;
         Instant deadline;
-        bool returned = false;
+        bool returned = false; ///< A return counts once, however often it arrives.
     };
     struct Borrowed
     {
@@ -231,8 +245,7 @@
         Allotment amount;
         Instant receivedAt;
         Instant deadline;
-        Instant renewAt; ///< Earliest next renewal; a renewal in flight moves it.
-        Instant frozenUntil {}; ///< Not lent on or returned while a renewal may be in flight.
+        Instant renewAt;
     };
     struct Pending
     {
@@ -259,31 +272,38 @@
         std::map<LoanId, Answer> answers;
         DemandEstimate demand;
         LenderChoice lenders;
-        Instant nextRoundAt {};
-        Instant roundEndsAt {};
-        int roundOpen = 0; ///< Replies awaited from the last round.
-        std::int64_t waiting = 0; ///< Millionths of a request that the last round was for.
+        bool starved = false; ///< The last attempt found too few tokens.
 
         Allotment own(Instant at) const;
         Allotment lentAt(Instant at) const;
         Allotment borrowedAt(Instant at) const;
         Allotment effective(Instant at) const;
-        std::int64_t reserve(Instant now) const;
         Instant nextChange(Instant at, Instant limit) const;
         void advance(Instant now);
-        void clamp(Instant now);
+        void clamp(Instant at);
         void dropExpired(Instant now);
+        /// Measured demand in millionths of a request per second.
+        std::int64_t demandRate(Instant now) const;
+        /// Tokens kept for the own demand.
+        std::int64_t reserve(Instant now) const;
+        bool surplusWithout(const Allotment &amount, Instant now) const;
+    };
+    /// What a lender can give in answer to one request.
+    struct Offer
+    {
+        Allotment amount;
+        std::int64_t tokens = 0;
     };
 
     Resource *find(const ResourceId &resource, Instant now);
-    LoanId nextLoanId() { return { self_, ++lastSequence_ }; }
-    std::vector<ShareOutgoing> round(Resource &resource, std::int64_t waiting, Instant now);
-    LoanReply grant(Resource &resource, const LoanRequest &request, Instant now);
-    LoanReply grantOwn(
-        Resource &resource, const LoanRequest &request, LoanReply reply, Instant now);
-    LoanReply grantBorrowed(Resource &resource, LoanReply reply, const Allotment &wanted,
-        std::int64_t tokens, Instant now);
-    LoanReply renew(Resource &resource, const LoanRequest &request, LoanReply reply, Instant now);
+    std::vector<ShareOutgoing> startRound(Resource &resource, std::int64_t waiting, Instant now);
+    LoanRequest requestFor(Resource &resource, Incarnation lender, Instant now);
+    LoanReply answer(Resource &resource, const LoanRequest &request, Instant now);
+    Offer offerFor(const Resource &resource, const LoanRequest &request, Instant now) const;
+    void grantOwn(Resource &resource, const Offer &offer, LoanReply &reply, Instant now);
+    void passOn(Resource &resource, const Offer &offer, LoanReply &reply, Instant now);
+    void renew(Resource &resource, const LoanRequest &request, LoanReply &reply, Instant now);
+    void takeRenewal(Resource &resource, const LoanId &old, const LoanReply &reply, Borrowed loan);
     void renewLoans(Resource &resource, Instant now, std::vector<ShareOutgoing> &out);
     void returnLoans(Resource &resource, Instant now, std::vector<ShareOutgoing> &out);
 
@@ -347,7 +367,6 @@
 private:
     struct Lent
     {
-        Incarnation borrower;
         int slots = 0;
         Instant deadline;
     };
@@ -381,13 +400,10 @@
         std::map<LoanId, Answer> answers;
         DemandEstimate demand;
         LenderChoice lenders;
-        Instant nextRoundAt {};
-        int roundOpen = 0;
-        Instant roundEndsAt {};
 
         int own(Instant at) const;
         int lentSlots() const;
-        int freeOwn(Instant now) const;
+        int freeOwn(Instant at) const;
         void dropExpired(Instant now);
     };
     struct Lease
@@ -397,6 +413,7 @@
     };
 
     Resource *find(const ResourceId &resource, Instant now);
+    void grant(Resource &resource, const LoanRequest &request, LoanReply &reply, Instant now);
 
     Incarnation self_;
     FailureDomainId domain_;
--- /dev/null
+++ b/coordination/src/ledger.cpp
@@ -0,0 +1,346 @@
+#include "endivequay/ledger.h"
+
+#include "endivequay/digest.h"
+
+#include <algorithm>
+#include <ranges>
+
+namespace endivequay {
+
+namespace {
+
+constexpr Interval repeatInterval = std::chrono::seconds(1);
+
+// Owners with long requests answer late; the cells of the others should not wait for them. A write
+// makes the late ones start over, so it is not done at once either.
+constexpr Interval partialWriteDelay = std::chrono::seconds(2);
+
+// A keeper that did not observe for this long cannot vouch for the silence of an owner.
+constexpr Interval observationGap = std::chrono::seconds(5);
+
+std::vector<int> toList(const CellSet &cells)
+{
+    std::vector<int> list;
+    for (int cell = 0; cell < cellsPerDomain; ++cell) {
+        if (cells[static_cast<std::size_t>(cell)])
+            list.push_back(cell);
+    }
+    return list;
+}
+
+CellSet toSet(const std::vector<int> &list)
+{
+    CellSet cells;
+    for (const int cell : list) {
+        if (cell >= 0 && cell < cellsPerDomain)
+            cells.set(static_cast<std::size_t>(cell));
+    }
+    return cells;
+}
+
+std::uint64_t rank(std::string_view item, Incarnation incarnation)
+{
+    return hash64(item, incarnation.value());
+}
+
+std::uint64_t rank(std::size_t cell, Incarnation incarnation)
+{
+    return rank(std::to_string(cell), incarnation);
+}
+
+bool isReceiver(const LedgerMember &member, Instant now)
+{
+    return !member.leaving && now - member.heardAt <= suspectSilence;
+}
+
+/// The \a count cells of \a cells that rank lowest for \a owner.
+CellSet lowestRanked(const CellSet &cells, int count, Incarnation owner)
+{
+    std::vector<int> list = toList(cells);
+    std::ranges::sort(
+        list, {}, [&](int cell) { return rank(static_cast<std::size_t>(cell), owner); });
+    list.resize(static_cast<std::size_t>(std::min<int>(count, static_cast<int>(list.size()))));
+    return toSet(list);
+}
+
+} // namespace
+
+OwnerState::OwnerState(FailureDomainId domain, Incarnation self, Instant now)
+    : domain_(std::move(domain))
+    , self_(self)
+    , ledger_ { Revision(), CellLedger(domain_) }
+    , lastTick_(now)
+{ }
+
+CellSet OwnerState::usableCells(Instant now) const
+{
+    if (leaving_ || mustRead_ || now >= usableUntil())
+        return {};
+    CellSet cells = ledger_.ledger.cellsOf(self_);
+    for (const auto &[cell, revision] : released_)
+        cells.reset(static_cast<std::size_t>(cell));
+    return cells;
+}
+
+bool OwnerState::applyLedger(const LedgerSnapshot &snapshot, Instant readStartedAt)
+{
+    if (snapshot.revision < ledger_.revision || snapshot.ledger.domain() != domain_)
+        return false;
+    ledger_ = snapshot;
+    std::erase_if(released_, [&](const auto &entry) { return entry.second < snapshot.revision; });
+    if (mustRead_ && readStartedAt >= readNeededSince_) {
+        mustRead_ = false;
+        // A reclaim may be on its way to the store. Once a revision above this one exists, it can
+        // no longer succeed.
+        if (std::exchange(reclaimPossible_, false)) {
+            for (const int cell : toList(ledger_.ledger.cellsOf(self_)))
+                released_[cell] = snapshot.revision;
+        }
+    }
+    if (released_.empty())
+        requesters_.clear();
+    return true;
+}
+
+void OwnerState::onCellRelease(const CellRelease &request)
+{
+    if (request.domain != domain_ || request.ledger < ledger_.revision)
+        return;
+    for (const int cell : toList(toSet(request.cells)))
+        released_[cell] = std::max(released_[cell], request.ledger);
+    requesters_.insert(request.keeper);
+}
+
+void OwnerState::observeTime(Instant now)
+{
+    const Interval gap = now - lastTick_;
+    if (gap >= pauseLimit) {
+        mustRead_ = true;
+        readNeededSince_ = now;
+        reclaimPossible_ = reclaimPossible_ || gap >= endedSilence;
+    }
+    lastTick_ = now;
+}
+
+std::pair<Revision, CellSet> OwnerState::unusedCells() const
+{
+    Revision revision = leaving_ ? ledger_.revision : Revision();
+    for (const Revision released : released_ | std::views::values)
+        revision = std::max(revision, released);
+    CellSet cells;
+    if (leaving_ && revision == ledger_.revision)
+        cells = ledger_.ledger.cellsOf(self_);
+    for (const auto &[cell, released] : released_) {
+        if (released == revision)
+            cells.set(static_cast<std::size_t>(cell));
+    }
+    return { revision, cells };
+}
+
+std::vector<ShareOutgoing> OwnerState::reports(
+    Instant now, const std::pair<Revision, CellSet> &given, std::optional<Incarnation> keeper)
+{
+    if (given == lastReport_ && now < nextReportAt_)
+        return {};
+    std::set<Incarnation> receivers = requesters_;
+    if (keeper)
+        receivers.insert(*keeper);
+    if (receivers.empty())
+        return {};
+    lastReport_ = given;
+    nextReportAt_ = now + repeatInterval;
+    std::vector<ShareOutgoing> out;
+    std::ranges::transform(receivers, std::back_inserter(out), [&](Incarnation to) {
+        return ShareOutgoing { to,
+            CellReleased { domain_, self_, given.first, toList(given.second) } };
+    });
+    return out;
+}
+
+std::optional<Incarnation> keeperOf(
+    const FailureDomainId &domain, const std::vector<LedgerMember> &members, Instant now)
+{
+    auto live = members
+        | std::views::filter([&](const LedgerMember &member) { return isReceiver(member, now); });
+    const auto lowest = std::ranges::min_element(live, {}, [&](const LedgerMember &member) {
+        return std::pair(rank(domain.value(), member.incarnation), member.incarnation);
+    });
+    if (lowest == live.end())
+        return std::nullopt;
+    return lowest->incarnation;
+}
+
+Keeper::Keeper(FailureDomainId domain, Incarnation self, Instant now)
+    : domain_(std::move(domain))
+    , self_(self)
+    , lastTick_(now)
+{ }
+
+void Keeper::applyLedger(const LedgerSnapshot &snapshot)
+{
+    if (snapshot.ledger.domain() != domain_ || (ledger_ && snapshot.revision <= ledger_->revision))
+        return;
+    ledger_ = snapshot;
+    released_.reset();
+    requestedAt_.reset();
+    nextRequestAt_ = {};
+    nextWriteAt_ = {};
+}
+
+void Keeper::onCellReleased(const CellReleased &report)
+{
+    if (!ledger_ || report.domain != domain_ || report.ledger != ledger_->revision)
+        return;
+    released_ |= toSet(report.cells) & ledger_->ledger.cellsOf(report.owner);
+}
+
+bool Keeper::provedEnded(Incarnation owner, const CellOwner &details, const Evidence &evidence,
+    Instant now, const std::vector<LedgerMember> &members,
+    const std::optional<PlatformList> &list) const
+{
+    Instant silentSince = evidence.since;
+    for (const LedgerMember &member : members) {
+        if (member.incarnation == owner)
+            silentSince = std::max(silentSince, member.heardAt);
+    }
+    const auto hasItsAddress = [&](const LedgerMember &member) {
+        return member.incarnation != owner && member.address == details.address
+            && member.heardAt > silentSince && now - member.heardAt <= suspectSilence;
+    };
+    if (std::ranges::any_of(members, hasItsAddress))
+        return true;
+    return details.listed && list && list->readAt > silentSince
+        && !list->addresses.contains(details.address) && now - silentSince >= endedSilence;
+}
+
+void Keeper::observe(
+    Instant now, const std::vector<LedgerMember> &members, const std::optional<PlatformList> &list)
+{
+    if (now - lastTick_ > observationGap)
+        evidence_.clear();
+    lastTick_ = now;
+    const auto &owners = ledger_->ledger.owners();
+    std::erase_if(evidence_, [&](const auto &entry) { return !owners.contains(entry.first); });
+    for (const auto &[owner, details] : owners) {
+        Evidence &evidence = evidence_.try_emplace(owner, Evidence { now, {} }).first->second;
+        if (!provedEnded(owner, details, evidence, now, members, list))
+            evidence.endedAt.reset();
+        else if (!evidence.endedAt)
+            evidence.endedAt = now;
+    }
+}
+
+bool Keeper::reclaimable(Incarnation owner, Instant now) const
+{
+    const auto found = evidence_.find(owner);
+    return found != evidence_.end() && found->second.endedAt
+        && now - *found->second.endedAt >= reclaimWait;
+}
+
+CellSet Keeper::movableCells(Instant now) const
+{
+    CellSet movable = released_ | ledger_->ledger.cellsOf(Incarnation());
+    for (const Incarnation owner : ledger_->ledger.owners() | std::views::keys) {
+        if (reclaimable(owner, now))
+            movable |= ledger_->ledger.cellsOf(owner);
+    }
+    return movable;
+}
+
+std::map<Incarnation, int> Keeper::surpluses(
+    const std::vector<LedgerMember> &receivers, const CellSet &movable) const
+{
+    // Those with most cells get the remainder of the division, which needs the fewest moves.
+    std::vector<std::pair<int, Incarnation>> counts;
+    int available = static_cast<int>(movable.count());
+    for (const LedgerMember &member : receivers) {
+        const CellSet held = ledger_->ledger.cellsOf(member.incarnation) & ~movable;
+        counts.emplace_back(-static_cast<int>(held.count()), member.incarnation);
+        available += static_cast<int>(held.count());
+    }
+    std::ranges::sort(counts);
+    const int size = static_cast<int>(counts.size());
+    std::map<Incarnation, int> surplus;
+    for (int i = 0; i < size; ++i) {
+        const int target = available / size + (i < available % size ? 1 : 0);
+        surplus[counts[static_cast<std::size_t>(i)].second]
+            = -counts[static_cast<std::size_t>(i)].first - target;
+    }
+    return surplus;
+}
+
+std::vector<ShareOutgoing> Keeper::releaseRequests(
+    Instant now, const std::map<Incarnation, int> &surplus, const CellSet &movable)
+{
+    if (now < nextRequestAt_)
+        return {};
+    nextRequestAt_ = now + repeatInterval;
+    std::vector<ShareOutgoing> out;
+    for (const auto &[owner, count] : surplus) {
+        if (count <= 0)
+            continue;
+        const CellSet held = ledger_->ledger.cellsOf(owner) & ~movable;
+        out.push_back({ owner,
+            CellRelease {
+                domain_, self_, ledger_->revision, toList(lowestRanked(held, count, owner)) } });
+    }
+    if (!out.empty() && !requestedAt_)
+        requestedAt_ = now;
+    return out;
+}
+
+CellLedger Keeper::reassigned(const std::vector<LedgerMember> &receivers, const CellSet &movable,
+    std::map<Incarnation, int> surplus, const std::optional<PlatformList> &list) const
+{
+    CellLedger next = ledger_->ledger;
+    const auto isListed
+        = [&](const Address &address) { return list && list->addresses.contains(address); };
+    for (const auto &[owner, details] : ledger_->ledger.owners())
+        next.setListed(owner, details.listed || isListed(details.address));
+    for (const int cell : toList(movable)) {
+        const Incarnation former = next.ownerOf(cell);
+        const auto best = std::ranges::min_element(receivers, {}, [&](const LedgerMember &member) {
+            return std::tuple(surplus.at(member.incarnation) >= 0, member.incarnation != former,
+                rank(static_cast<std::size_t>(cell), member.incarnation));
+        });
+        ++surplus.at(best->incarnation);
+        const auto known = next.owners().find(best->incarnation);
+        const bool wasListed = known != next.owners().end() && known->second.listed;
+        next.assign(CellSet().set(static_cast<std::size_t>(cell)), best->incarnation,
+            { best->address, wasListed || isListed(best->address) });
+    }
+    return next;
+}
+
+KeeperActions Keeper::tick(
+    Instant now, const std::vector<LedgerMember> &members, const std::optional<PlatformList> &list)
+{
+    if (!ledger_)
+        return {};
+    observe(now, members, list);
+    if (keeperOf(domain_, members, now) != self_)
+        return {};
+    std::vector<LedgerMember> receivers;
+    std::ranges::copy_if(members, std::back_inserter(receivers),
+        [&](const LedgerMember &member) { return isReceiver(member, now); });
+
+    const CellSet movable = movableCells(now);
+    const auto surplus = surpluses(receivers, movable);
+    const bool complete
+        = std::ranges::none_of(surplus, [](const auto &entry) { return entry.second > 0; });
+    KeeperActions actions;
+    actions.messages = releaseRequests(now, surplus, movable);
+
+    const bool due = complete || (requestedAt_ && now - *requestedAt_ >= partialWriteDelay);
+    if (!due || now < nextWriteAt_)
+        return actions;
+    CellLedger next = reassigned(receivers, movable, surplus, list);
+    // Released cells need a new revision even if they go back to their owner.
+    if (movable.none() && next == ledger_->ledger)
+        return actions;
+    nextWriteAt_ = now + repeatInterval;
+    actions.write = LedgerWrite { ledger_->revision, std::move(next) };
+    return actions;
+}
+
+} // namespace endivequay
