Add the stand-ins for store, membership list and upstreams

Cause: tests and experiments meet outside systems through their published protocols. Change: three RESTinio servers with control endpoints, usable in process and as programs; the store stand-in serves etcd's JSON gateway from MemoryStore.

--- /dev/null
+++ b/standins/src/upstreammain.cpp
@@ -0,0 +1,20 @@
+#include "main.h"
+
+using namespace endivequay;
+namespace po = boost::program_options;
+
+int main(int argc, char **argv)
+{
+    UpstreamStandinOptions upstream;
+    standins::Options options;
+    options.add_options()(
+        "slots", po::value(&upstream.slots)->default_value(1), "requests at once")(
+        "name", po::value(&upstream.name)->default_value("upstream"), "name in answers")(
+        "service", po::value(&upstream.service)->default_value("service"), "service in answers")(
+        "delay-ms", po::value(&upstream.delayMs)->default_value(0), "time that a request works");
+    return standins::serve(
+        argc, argv, options, [&upstream](const Address &listen, const standins::Values &) {
+            upstream.listen = listen;
+            return startUpstreamStandin(upstream);
+        });
+}
--- a/transport/include/endivequay/upstreamclient.h
+++ b/transport/include/endivequay/upstreamclient.h
@@ -32,7 +32,7 @@
     std::string body;
     Instant deadline;
     RequestKind kind = RequestKind::Once;
-    std::stop_token cancelled; ///< Ends the call at once when stop is requested.
+    std::stop_token cancelled {}; ///< Ends the call at once when stop is requested.
 };
 
 /// What is known about a request after the call (design page, section 3.4).
