--- a/coordination/src/ledger.cpp
+++ b/coordination/src/ledger.cpp
@@ -297,17 +297,22 @@
         = [&](const Address &address) { return list && list->addresses.contains(address); };
     for (const auto &[owner, details] : ledger_->ledger.owners())
         next.setListed(owner, details.listed || isListed(details.address));
+    std::map<Incarnation, CellSet> given;
     for (const int cell : toList(movable)) {
-        const Incarnation former = next.ownerOf(cell);
+        const Incarnation former = ledger_->ledger.ownerOf(cell);
         const auto best = std::ranges::min_element(receivers, {}, [&](const LedgerMember &member) {
             return std::tuple(surplus.at(member.incarnation) >= 0, member.incarnation != former,
                 rank(static_cast<std::size_t>(cell), member.incarnation));
         });
         ++surplus.at(best->incarnation);
-        const auto known = next.owners().find(best->incarnation);
-        const bool wasListed = known != next.owners().end() && known->second.listed;
-        next.assign(CellSet().set(static_cast<std::size_t>(cell)), best->incarnation,
-            { best->address, wasListed || isListed(best->address) });
+        given[best->incarnation].set(static_cast<std::size_t>(cell));
+    }
+    for (const LedgerMember &member : receivers) {
+        const auto known = ledger_->ledger.owners().find(member.incarnation);
+        const bool wasListed = known != ledger_->ledger.owners().end() && known->second.listed;
+        if (given[member.incarnation].any())
+            next.assign(given[member.incarnation], member.incarnation,
+                { member.address, wasListed || isListed(member.address) });
     }
     return next;
 }
--- a/coordination/test/fleet.h
+++ b/coordination/test/fleet.h
@@ -128,6 +128,12 @@
         list_[node.address] = now + listLag;
     }
     void pause(Node &node, Interval interval) { node.pausedUntil = now + interval; }
+    void pauseUnlisted(Node &node, Interval interval)
+    {
+        pause(node, interval);
+        list_[node.address] = now;
+        at(now + interval, [this, address = node.address] { list_[address] = Instant::max(); });
+    }
     void leave(Node &node)
     {
         node.leaving = true;
