--- a/coordination/include/endivequay/configlog.h
+++ b/coordination/include/endivequay/configlog.h
@@ -40,7 +40,7 @@
 enum class ApplyResult : std::uint8_t {
     Applied,
     Partial, ///< Part of a snapshot was stored; the revision is unchanged.
-    AlreadyKnown, ///< The log has this revision or a higher one; nothing was changed.
+    AlreadyKnown, ///< The log has this revision or part, or a higher one; nothing was changed.
     Gap ///< The change is based on a revision that the log has not seen; a snapshot is needed.
 };
 
@@ -64,8 +64,8 @@
 {
     Revision revision;
     ChangeId change;
+    std::string after; ///< Last document name of the part before; empty in the first part.
     std::vector<std::pair<std::string, DocumentText>> documents;
-    bool first = true;
     bool last = true;
 };
 
@@ -92,7 +92,7 @@
     ApplyResult applySnapshot(Revision revision, ChangeId change, Documents documents);
     /// Applies an update of a peer. Parts of a snapshot take effect together with the last one.
     ///
-    /// A part that does not continue the one before discards what was received.
+    /// A part of a lower snapshot, or one that does not continue the part before, is not used.
     ApplyResult applyUpdate(ConfigUpdate update);
 
     /// What a peer at \a revision needs next: changes if the ring reaches back to its revision,
@@ -119,6 +119,8 @@
     {
         Revision revision;
         Documents documents;
+
+        std::string after() const { return documents.empty() ? "" : documents.rbegin()->first; }
     };
 
     std::optional<ConfigDelta> deltaSince(Revision revision) const;
@@ -203,7 +205,6 @@
 private:
     bool loopFree(const SyncSelf &self, const SyncCandidate &candidate) const;
     bool eligible(const SyncSelf &self, const SyncCandidate &candidate) const;
-    bool mayKeep(const SyncSelf &self, const SyncCandidate &candidate, Instant now) const;
 
     SyncSettings settings_;
     std::optional<Incarnation> current_;
--- a/coordination/include/endivequay/freshness.h
+++ b/coordination/include/endivequay/freshness.h
@@ -40,8 +40,8 @@
     Interval keyedLimit = std::chrono::seconds(4);
     /// A read without a response after this time counts as unanswered.
     Interval readTimeout = std::chrono::milliseconds(300);
-    /// Silence reports older than this are not used.
-    Interval evidenceAge = std::chrono::seconds(3);
+    /// Silence reports older than this are not used; they would not extend keyedLimit.
+    Interval evidenceAge = std::chrono::seconds(4);
     /// Relayed ages grow by this divisor's fraction: clocks may drift apart by 0.1 percent.
     int driftDivisor = 1'000;
 };
@@ -86,7 +86,8 @@
     FreshnessState state(Instant now) const;
     /// The state if it changed since the last call.
     std::optional<FreshnessState> stateChange(Instant now);
-    /// Usable reports, own one included, for relaying.
+    /// Usable reports, own one included, for relaying. While there are any, heartbeats and store
+    /// reads go out twice a second, so that confirmations by silence arrive before keyedLimit.
     std::vector<SilenceReport> silences(Instant now) const;
 
 private:
--- a/coordination/src/codec.cpp
+++ b/coordination/src/codec.cpp
@@ -85,8 +85,8 @@
 {
     a({ "r", "revision" }, m.revision);
     a({ "c", "change" }, m.change);
+    a({ "a", "after" }, m.after);
     a({ "d", "documents" }, m.documents);
-    a({ "f", "first" }, m.first);
     a({ "l", "last" }, m.last);
 }
 
--- a/coordination/src/configlog.cpp
+++ b/coordination/src/configlog.cpp
@@ -88,15 +88,15 @@
         transfer_.reset();
         return ApplyResult::AlreadyKnown;
     }
-    if (part.first)
+    if (!transfer_ || transfer_->revision != part.revision) {
+        // Later parts of a transfer that has been given up.
+        if (!part.after.empty())
+            return ApplyResult::Gap;
         transfer_ = Transfer { part.revision, {} };
-    const bool continues = transfer_ && transfer_->revision == part.revision
-        && (part.first || part.documents.empty() || transfer_->documents.empty()
-            || transfer_->documents.rbegin()->first < part.documents.front().first);
-    if (!continues) {
-        transfer_.reset();
-        return ApplyResult::Gap;
     }
+    // Duplicated and reordered parts would leave out the documents between.
+    if (part.after != transfer_->after())
+        return ApplyResult::AlreadyKnown;
     for (auto &[name, text] : part.documents)
         transfer_->documents.insert_or_assign(std::move(name), std::move(text));
     if (!part.last)
@@ -138,7 +138,8 @@
     const bool continued = cursor && cursor->snapshot == served_->revision;
     const Documents &documents = *served_->documents;
     auto next = continued ? documents.upper_bound(cursor->after) : documents.begin();
-    SnapshotPart part { served_->revision, served_->change, {}, !continued, false };
+    SnapshotPart part { served_->revision, served_->change, continued ? cursor->after : "", {},
+        false };
     for (std::size_t bytes = 0; next != documents.end(); ++next) {
         bytes += documentBytes(next->first, next->second);
         // One document always fits, or the transfer would not advance.
@@ -154,7 +155,7 @@
 {
     if (!transfer_ || transfer_->documents.empty())
         return std::nullopt;
-    return SnapshotCursor { transfer_->revision, transfer_->documents.rbegin()->first };
+    return SnapshotCursor { transfer_->revision, transfer_->after() };
 }
 
 std::size_t ConfigLog::memoryBytes() const
@@ -221,8 +222,12 @@
     };
     const SyncCandidate *best = nullptr;
     const SyncCandidate *kept = nullptr;
+    bool keepable = false;
+    const bool goodEnough = self.confirmedAsOf && now - *self.confirmedAsOf <= settings_.goodEnough;
     for (const auto &candidate : candidates) {
-        if (candidate.incarnation == current_ && mayKeep(self, candidate, now))
+        const bool current = candidate.incarnation == current_ && loopFree(self, candidate);
+        keepable = keepable || current;
+        if (current && goodEnough)
             kept = &candidate;
         if (eligible(self, candidate) && (best == nullptr || rank(candidate) < rank(*best)))
             best = &candidate;
@@ -230,6 +235,9 @@
     const bool nearer = kept && best && confirmed(*best) && best->proximity < kept->proximity;
     if (kept && !nearer)
         return current_;
+    // Without a better peer the source is kept: it may be the first to learn more.
+    if (best == nullptr && keepable)
+        return current_;
     if (best == nullptr || best->incarnation != current_)
         clear();
     if (best != nullptr && current_ != best->incarnation) {
@@ -296,10 +304,4 @@
             || *candidate.confirmedAsOf > *self.confirmedAsOf + settings_.fresherBy);
 }
 
-bool SyncSource::mayKeep(const SyncSelf &self, const SyncCandidate &candidate, Instant now) const
-{
-    return loopFree(self, candidate) && self.confirmedAsOf
-        && now - *self.confirmedAsOf <= settings_.goodEnough;
-}
-
 } // namespace endivequay
--- a/coordination/test/codec_test.cpp
+++ b/coordination/test/codec_test.cpp
@@ -31,7 +31,7 @@
         ConfigReply {
             {}, 3, Incarnation(7), Revision(12), 1ms, {}, silences, ConfigDelta { { change } } },
         ConfigReply { {}, 3, Incarnation(7), Revision(12), {}, {}, {},
-            SnapshotPart { Revision(12), ChangeId("c1"), { { "a", text("x") } }, true, false } },
+            SnapshotPart { Revision(12), ChangeId("c1"), "a", { { "b", text("x") } }, false } },
         MemberDigest { Incarnation(7), { { member, 4, MemberState::Suspect, 3s } } } };
 }
 
