--- a/daemon/src/daemon.cpp
+++ b/daemon/src/daemon.cpp
@@ -13,8 +13,10 @@
 constexpr std::size_t queuedPerWorker = 16;
 // A look-up answer may be cached for its lifetime, and peers hear of the leaving a second later.
 constexpr Interval leavingNoticeTime = 4s;
-// Requests that were read before the server stopped accepting are counted within this time.
-constexpr Interval settleTime = 200ms;
+// Callers that still arrive are told that the instance leaves; it exits when none came for this
+// long, so that no connection is waiting when the server closes.
+constexpr Interval quietTime = 500ms;
+constexpr Interval quietLimit = 5s;
 
 } // namespace
 
@@ -115,11 +117,14 @@
     node_->announceLeaving();
     std::this_thread::sleep_for(leavingNoticeTime);
     requests_->stopAccepting();
-    std::this_thread::sleep_for(settleTime);
+    std::this_thread::sleep_for(quietTime);
     while (requests_->inProgress() > 0 && clock.now() < limit)
         std::this_thread::sleep_for(20ms);
     const bool released = node_->releaseCells(std::min(limit, clock.now() + 10s));
     timeline_.record(EventId::CellsReleased, { { "complete", released ? "true" : "false" } });
+    const Instant quietBy = std::min(limit, clock.now() + quietLimit);
+    while (requests_->lastArrival() + quietTime > clock.now() && clock.now() < quietBy)
+        std::this_thread::sleep_for(20ms);
 }
 
 } // namespace endivequay
--- a/daemon/src/node.cpp
+++ b/daemon/src/node.cpp
@@ -269,6 +269,8 @@
         return;
     nextPull_ = now + pullPeriod;
     std::vector<SyncCandidate> candidates;
+    if (now < storeAnsweredUntil_.load())
+        return;
     {
         const std::lock_guard lock(tables_.members.mutex);
         candidates = tables_.members.view.syncCandidates();
@@ -430,6 +432,11 @@
 void Node::send(const std::vector<ShareOutgoing> &messages)
 {
     for (const ShareOutgoing &outgoing : messages) {
+        // The keeper of a domain is usually an owner of its cells, too.
+        if (outgoing.to == identity_.incarnation) {
+            deliver(outgoing.to, outgoing.message);
+            continue;
+        }
         const auto address = addressOf(outgoing.to);
         if (!address)
             continue;
--- a/daemon/src/node.h
+++ b/daemon/src/node.h
@@ -161,10 +161,10 @@
     void handle(const Address &from, const MemberDigest &message);
     void handle(const Address &from, const LedgerPull &message);
     void handle(const Address &from, const LedgerReply &message);
-    void handle(const Address &from, const CellReleased &message);
     template <class T>
     void handle(const Address &from, const T &message);
     void handleShare(const Address &from, const ShareMessage &message);
+    void deliver(const Incarnation &sender, const ShareMessage &message);
 
     // Configuration.
     void readConfiguration(Instant now);
@@ -214,6 +214,8 @@
     ConfigStore<EtcdStore> configStore_;
     WatchHandle watch_;
     std::atomic<bool> watching_ { false };
+    /// A reader that the store answers does not pull from peers.
+    std::atomic<Instant> storeAnsweredUntil_ { Instant() };
     std::mutex storeMutex_;
     std::condition_variable_any storeWake_;
     bool storeWanted_ = false; ///< The store thread runs at once.
--- a/daemon/src/nodemessages.cpp
+++ b/daemon/src/nodemessages.cpp
@@ -211,19 +211,6 @@
     }
 }
 
-void Node::handle(const Address &, const CellReleased &message)
-{
-    {
-        const std::lock_guard lock(tables_.shares.mutex);
-        tables_.shares.keeper.onCellReleased(message);
-    }
-    {
-        const std::lock_guard lock(storeMutex_);
-        storeWanted_ = true;
-    }
-    storeWake_.notify_all();
-}
-
 template <class T>
 void Node::handle(const Address &from, const T &message)
 {
@@ -232,7 +219,6 @@
 
 void Node::handleShare(const Address &from, const ShareMessage &message)
 {
-    const Instant now = clock_.now();
     Incarnation sender;
     {
         const std::lock_guard lock(tables_.members.mutex);
@@ -241,6 +227,24 @@
             return;
         sender = member->identity.incarnation;
     }
+    deliver(sender, message);
+}
+
+void Node::deliver(const Incarnation &sender, const ShareMessage &message)
+{
+    if (const auto *released = std::get_if<CellReleased>(&message)) {
+        {
+            const std::lock_guard lock(tables_.shares.mutex);
+            tables_.shares.keeper.onCellReleased(*released);
+        }
+        {
+            const std::lock_guard lock(storeMutex_);
+            storeWanted_ = true;
+        }
+        storeWake_.notify_all();
+        return;
+    }
+    const Instant now = clock_.now();
     std::vector<ShareOutgoing> answers;
     {
         const std::lock_guard lock(tables_.shares.mutex);
--- a/daemon/src/nodestore.cpp
+++ b/daemon/src/nodestore.cpp
@@ -98,6 +98,7 @@
     if (storeSilent_)
         timeline_.record(EventId::StoreAnswered);
     storeSilent_ = false;
+    storeAnsweredUntil_ = now + 2 * readPeriod;
     Revision own;
     {
         const std::lock_guard lock(tables_.config.mutex);
--- a/daemon/src/requests.cpp
+++ b/daemon/src/requests.cpp
@@ -139,6 +139,7 @@
 HttpReply RequestHandler::handle(const HttpRequest &request)
 {
     ++inProgress_;
+    lastArrival_ = request.receivedAt;
     HttpReply reply = handleCall(request);
     --inProgress_;
     node_.metrics().count("endivequay_requests_total",
@@ -153,7 +154,7 @@
 HttpReply RequestHandler::handleCall(const HttpRequest &request)
 {
     Call call { request, node_.view(), nullptr, nullptr, {}, Hop::None, {}, RequestRate(1), {}, {},
-        {} };
+        {}, false };
     call.requestId = fmt::format(
         "{:08x}-{}", node_.identity().incarnation.value() & 0xffffffffU, ++lastRequest_);
     if (auto refused = resolve(call))
@@ -331,7 +332,7 @@
     return reply;
 }
 
-HttpReply RequestHandler::runOnce(const Call &call, const std::string &operation)
+HttpReply RequestHandler::runOnce(Call &call, const std::string &operation)
 {
     const std::string digest = sha256Hex(
         fmt::format("{}\n{}\n{}", call.http.method, call.upstreamTarget, call.http.body));
@@ -351,17 +352,19 @@
         return systemReply(409, toString(replay->outcome), "answer_not_kept", {});
     }
     const auto &refused = std::get<RefuseOperation>(decision);
-    if (refused.outcome == Outcome::NotRun)
-        return refuse(call, refused.reason == OperationRefusal::MemoryFull ? 503 : 409,
-            toString(refused.reason), {});
+    if (refused.outcome == Outcome::NotRun) {
+        call.runsOperation = refused.reason == OperationRefusal::MemoryFull;
+        return refuse(call, call.runsOperation ? 503 : 409, toString(refused.reason), {});
+    }
     node_.timeline().record(EventId::OperationUnknown,
         { { "request", call.requestId }, { "reason", std::string(toString(refused.reason)) } });
     return unknown(409, toString(refused.reason));
 }
 
-HttpReply RequestHandler::runOperation(const Call &call, OperationHandle handle)
+HttpReply RequestHandler::runOperation(Call &call, OperationHandle handle)
 {
     node_.timeline().record(EventId::OperationStarted, { { "request", call.requestId } });
+    call.runsOperation = true;
     std::optional<HttpReply> refused = admit(call);
     HttpReply reply = refused ? *std::move(refused) : run(call);
     const std::string text = outcomeOf(reply);
@@ -546,7 +549,10 @@
         { { "request", call.requestId }, { "team", call.team.value() },
             { "reason", std::string(reason) },
             { "path", std::string(call.http.path().substr(0, 200)) } });
-    HttpReply reply = notRun(status, reason, retryAfter);
+    // Another copy of the operation may have run. The caller may repeat the same id anywhere.
+    const bool otherCopies = call.http.header(operationHeader) && !call.runsOperation
+        && call.hop != Hop::Admitted && reason != toString(OperationRefusal::Mismatch);
+    HttpReply reply = systemReply(status, otherCopies ? "unknown" : "not-run", reason, retryAfter);
     // A connection with a malformed request may carry more of the same.
     reply.close = status == 400;
     return reply;
@@ -555,7 +561,7 @@
 HttpReply RequestHandler::issueOperation(const HttpRequest &request)
 {
     Call call { request, node_.view(), nullptr, nullptr, {}, Hop::None, {}, RequestRate(1), {}, {},
-        {} };
+        {}, false };
     if (!headersWellFormed(request))
         return refuse(call, 400, "malformed_headers", {});
     if (!accepting_ || node_.isLeaving())
--- a/daemon/src/requests.h
+++ b/daemon/src/requests.h
@@ -27,6 +27,8 @@
     /// New requests are refused as "not run" from now on.
     void stopAccepting() { accepting_ = false; }
     int inProgress() const { return inProgress_; }
+    /// When the last request arrived.
+    Instant lastArrival() const { return lastArrival_; }
 
 private:
     /// What another instance vouches for when it passes a request on.
@@ -49,6 +51,8 @@
         Instant deadline;
         std::string requestId;
         std::optional<RegionId> home;
+        /// The operation table decided that this copy runs, so "not run" holds for the operation.
+        bool runsOperation = false;
     };
 
     HttpReply handleCall(const HttpRequest &request);
@@ -59,8 +63,8 @@
     std::optional<HttpReply> checkFresh(const Call &call);
     std::optional<HttpReply> admit(const Call &call);
     HttpReply run(const Call &call);
-    HttpReply runOnce(const Call &call, const std::string &operation);
-    HttpReply runOperation(const Call &call, OperationHandle handle);
+    HttpReply runOnce(Call &call, const std::string &operation);
+    HttpReply runOperation(Call &call, OperationHandle handle);
     HttpReply awaitCopy(const Call &call, WaitTicket ticket);
     HttpReply passToIssuer(const Call &call, const PassToIssuer &issuer);
     HttpReply attempt(const Call &call);
@@ -79,6 +83,7 @@
     const SteadyClock clock_ {};
     std::atomic<bool> accepting_ { true };
     std::atomic<int> inProgress_ { 0 };
+    std::atomic<Instant> lastArrival_ { Instant() };
     std::atomic<std::uint64_t> lastRequest_ { 0 };
 };
 
