--- a/standins/src/liststandin.cpp
+++ b/standins/src/liststandin.cpp
@@ -37,6 +37,7 @@
         else
             exchange->answerJson(404, { { "error", "no such path" } });
     }
+    void close() override { }
 
 private:
     void control(Exchange &exchange)
--- a/standins/src/server.cpp
+++ b/standins/src/server.cpp
@@ -174,6 +174,8 @@
         io.stop();
         if (thread.joinable())
             thread.join();
+        if (service)
+            service->close();
     }
     State(const State &) = delete;
     State &operator=(const State &) = delete;
--- a/standins/src/server.h
+++ b/standins/src/server.h
@@ -67,6 +67,8 @@
 public:
     virtual ~Service() = default;
     virtual void handle(const ExchangePointer &exchange) = 0;
+    /// Drops all exchanges; each refers to its connection, which refers to the service.
+    virtual void close() = 0;
 };
 
 using ServiceFactory = std::function<std::shared_ptr<Service>(Scheduler &)>;
--- a/standins/src/storestandin.cpp
+++ b/standins/src/storestandin.cpp
@@ -148,6 +148,7 @@
     { }
 
     void handle(const ExchangePointer &exchange) override;
+    void close() override { watches_.clear(); }
     void checkLeases();
 
 private:
--- a/standins/src/upstreamstandin.cpp
+++ b/standins/src/upstreamstandin.cpp
@@ -128,6 +128,7 @@
     { }
 
     void handle(const ExchangePointer &exchange) override;
+    void close() override { unanswered_.clear(); }
 
 private:
     /// Work of one request; ends once, when done or when its connection closes.
