Test the upstream client under concurrency and with surplus answers

Cause: answers must go to their own requests also when threads share kept connections. Change: three tests; the wait for a connection no longer has a lower bound above the limit.

--- a/transport/src/http/exchange.cpp
+++ b/transport/src/http/exchange.cpp
@@ -129,8 +129,7 @@
     curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
     // An empty name also overrides http_proxy in the environment.
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
-    const Interval connectTime = std::clamp(
-        request_.deadline - now, Interval(std::chrono::milliseconds(1)), connectLimit_);
+    const Interval connectTime = std::min(request_.deadline - now, connectLimit_);
     curl_easy_setopt(
         easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(toMilliseconds(connectTime)));
     curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, request_.fresh ? 1L : 0L);
--- a/transport/test/upstreamclient_test.cpp
+++ b/transport/test/upstreamclient_test.cpp
@@ -263,3 +263,53 @@
     CHECK(declined.outcome == UpstreamOutcome::NotRun);
     LONGS_EQUAL(503, declined.status);
 }
+
+// Guards against answers swapped between requests when many threads share kept connections.
+TEST(UpstreamClient, ConcurrentRequestsGetTheirOwnAnswers)
+{
+    ScriptedServer server([](const Received &received) { return okReply(received.body); });
+    std::atomic<int> wrong { 0 };
+    const auto work = [&](int thread) {
+        UpstreamRequest request = requestTo(server.address(), RequestKind::Idempotent);
+        for (int i = 0; i < 50; ++i) {
+            request.body = std::to_string(thread * 1000 + i);
+            wrong += client.send(request).body == request.body ? 0 : 1;
+        }
+    };
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < 8; ++thread)
+        threads.emplace_back(work, thread);
+    for (std::thread &thread : threads)
+        thread.join();
+    LONGS_EQUAL(0, wrong.load());
+    LONGS_EQUAL(400, server.requests().size());
+    CHECK(client.idleConnections(server.address()) <= 8);
+}
+
+// Guards against a surplus answer on a kept connection that is taken for that to the next request.
+TEST(UpstreamClient, SurplusAnswerIsNotUsed)
+{
+    ScriptedServer server([](const Received &received) {
+        return Reply { okReply(received.body).bytes + okReply("surplus").bytes };
+    });
+    UpstreamRequest request = requestTo(server.address(), RequestKind::Idempotent);
+    for (const std::string body : { "a", "b", "c" }) {
+        request.body = body;
+        const auto response = client.send(request);
+        CHECK(response.outcome == UpstreamOutcome::Unknown || response.body == body);
+    }
+}
+
+// Guards against kept connections that pile up, or that outlive an upstream which left.
+TEST(UpstreamClient, KeptConnectionsAreBoundedAndClosedOnRequest)
+{
+    UpstreamClient::Settings settings;
+    settings.idlePerUpstream = 0;
+    UpstreamClient none(settings);
+    ScriptedServer server([](const Received &) { return okReply(""); });
+    none.send(requestTo(server.address(), RequestKind::Idempotent));
+    LONGS_EQUAL(0, none.idleConnections(server.address()));
+    openKeptConnection(client, server.address());
+    client.closeIdle(server.address());
+    LONGS_EQUAL(0, client.idleConnections(server.address()));
+}
