State how reads share their time and when to resolve a change

Cause: two rules of the store package were only visible in its code. Change: doc comments. Conclusion: no change in behaviour.

--- a/store/include/endivequay/configstore.h
+++ b/store/include/endivequay/configstore.h
@@ -114,7 +114,8 @@
     Result<ConfigSnapshot> readDocuments(Instant deadline);
 
     /// Submits \a change if its base is still the latest version. A lost answer is resolved as in
-    /// resolve().
+    /// resolve(). After Unknown, call resolve() rather than submit(), which would report the change
+    /// itself as a conflict.
     SubmitResult submit(const ConfigChange &change, Instant deadline);
 
     /// Finds out what became of a change whose submission ended Unknown. If the base is still the
--- a/store/include/endivequay/etcdstore.h
+++ b/store/include/endivequay/etcdstore.h
@@ -9,9 +9,10 @@
 
 /// Client of etcd v3's JSON gateway over HTTP.
 ///
-/// Reads move on to another connection or endpoint when one fails or stays silent. A write is sent
-/// once, over a fresh connection, and moves on only if no byte of it was sent. Source: etcd
-/// documentation, "Why gRPC gateway" and "API reference", v3.5.
+/// Reads move on to another connection or endpoint when one fails or stays silent; the time until
+/// the deadline is shared equally between the attempts that are left. A write is sent once, over a
+/// fresh connection, and moves on only if no byte of it was sent. Source: etcd documentation, "Why
+/// gRPC gateway" and "API reference", v3.5.
 class EtcdStore
 {
 public:
--- a/store/include/endivequay/store.h
+++ b/store/include/endivequay/store.h
@@ -153,7 +153,7 @@
     bool compacted = false; ///< The store no longer has the requested revision.
 };
 
-/// Receives the messages of one watch, one at a time, on a thread of the store.
+/// Receives the messages of one watch, one at a time, on a thread that the store chooses.
 using WatchCallback = std::function<void(const WatchMessage &)>;
 
 /// Owner of a running watch; stops it when destroyed.
