Lend waiting requests single tokens for a short term and pass loans on

Cause: loans of rate and burst for one request scattered a small team's bucket over all instances; passed-on loans lost up to 5 s of their term. Change: loans of tokens alone last 300 ms; a passed-on loan keeps its origin, where its holder renews and returns it; rate is borrowed only for lasting demand; the largest borrower is named.

--- a/coordination/include/endivequay/sharemessages.h
+++ b/coordination/include/endivequay/sharemessages.h
@@ -65,12 +65,20 @@
     LoanId id;
     ResourceId resource;
     std::uint64_t definition = 0; ///< Digest of the borrower's definition of the resource.
-    Allotment amount; ///< Rate wanted; when renewing, what the borrower still holds.
+    Allotment amount; ///< Wanted for seconds, zero for tokens alone; when renewing, what the
+                      ///< borrower still holds.
     std::int64_t tokens = 0; ///< Millionths of a request wanted now.
     int slots = 0; ///< Wanted slots of a counted resource.
     std::optional<LoanId> renews; ///< Loan to extend instead of granting a new one.
 };
 
+/// The loan that a part was taken from when a borrower passes it on.
+struct LoanOrigin
+{
+    Incarnation lender; ///< Renewals and returns go there.
+    LoanId id;
+};
+
 /// Lender to borrower. All amounts are 0 if the lender has nothing to spare.
 struct LoanReply
 {
@@ -82,15 +90,17 @@
     std::int64_t tokens = 0; ///< At most amount.burst.
     int slots = 0;
     Interval term {}; ///< The borrower holds the loan until the send time of its request + term.
+    std::optional<LoanOrigin> origin; ///< Set if the sender passes on a part of what it borrowed.
     std::optional<Incarnation> holder; ///< Who else may have some: the lender's largest borrower.
 };
 
-/// Borrower to lender: ends a loan early. Sent once per loan.
+/// Borrower to lender: ends a loan, or a part that was passed on, early.
 struct LoanReturn
 {
     LoanId id;
+    LoanId message; ///< Unique per return; a repeated one has no effect.
     ResourceId resource;
-    Allotment amount; ///< What the borrower still held of the loan.
+    Allotment amount; ///< What the borrower held of the loan.
     std::int64_t tokens = 0; ///< Unused tokens, at most amount.burst.
     int slots = 0;
 };
--- a/coordination/include/endivequay/shares.h
+++ b/coordination/include/endivequay/shares.h
@@ -16,6 +16,8 @@
 namespace endivequay {
 
 inline constexpr Interval rateLoanTerm = std::chrono::seconds(5);
+/// Term of a loan of tokens without rate, for requests that wait.
+inline constexpr Interval tokenLoanTerm = std::chrono::milliseconds(300);
 inline constexpr Interval slotLoanTerm = std::chrono::seconds(15);
 inline constexpr Interval maxRequestTime = std::chrono::seconds(10);
 /// After this time every instance has adopted a change or refuses keyed routes (4 s and margin).
@@ -125,6 +127,10 @@
 class DemandEstimate
 {
 public:
+    explicit DemandEstimate(Interval window)
+        : window_(toSeconds(window))
+    { }
+
     void add(double count, Instant now);
     /// Events per second.
     double perSecond(Instant now) const;
@@ -132,6 +138,7 @@
     bool idle(Instant now) const;
 
 private:
+    double window_;
     double value_ = 0;
     Instant updatedAt_ {};
 };
@@ -155,6 +162,8 @@
     /// Empty if a round is in flight or the last one is too recent.
     std::vector<Incarnation> startRound(
         std::size_t count, Instant now, const std::set<Incarnation> &suspects);
+    /// Another instance that may have something, asked first in the next rounds.
+    void addHolder(Incarnation holder);
     /// True while answers of the last round are awaited.
     bool roundOpen(Instant now) const { return awaited_ > 0 && now < roundEndsAt_; }
     void onReply(const LoanReply &reply, bool granted, Incarnation self, Instant now);
@@ -237,11 +246,11 @@
     {
         Allotment amount;
         Instant deadline;
-        bool returned = false; ///< A return counts once, however often it arrives.
+        std::set<LoanId> returns {}; ///< Messages that returned parts; each counts once.
     };
     struct Borrowed
     {
-        Incarnation lender;
+        LoanOrigin origin;
         Allotment amount;
         Instant receivedAt;
         Instant deadline;
@@ -270,13 +279,18 @@
         std::map<LoanId, Borrowed> borrowed;
         std::map<LoanId, Pending> pending;
         std::map<LoanId, Answer> answers;
-        DemandEstimate demand;
+        DemandEstimate demand { std::chrono::milliseconds(500) };
+        DemandEstimate steadyDemand { std::chrono::seconds(3) };
         LenderChoice lenders;
         bool starved = false; ///< The last attempt found too few tokens.
 
         Allotment own(Instant at) const;
         Allotment lentAt(Instant at) const;
         Allotment borrowedAt(Instant at) const;
+        /// What a short loan can be taken from: it stays here until the loan has ended.
+        Allotment cover(Instant now) const;
+        /// True if what is lent stays covered without \a part of \a loan.
+        bool canGive(const Borrowed &loan, const Allotment &part, Instant now) const;
         Allotment effective(Instant at) const;
         Instant nextChange(Instant at, Instant limit) const;
         void advance(Instant now);
@@ -284,8 +298,12 @@
         void dropExpired(Instant now);
         /// Measured demand in millionths of a request per second.
         std::int64_t demandRate(Instant now) const;
+        /// Rate that covers the measured demand and its variation.
+        std::int64_t wantedRate(Instant now) const;
         /// Tokens kept for the own demand.
         std::int64_t reserve(Instant now) const;
+        /// The instance that holds most of what was lent.
+        std::optional<Incarnation> largestBorrower(Instant now) const;
         bool surplusWithout(const Allotment &amount, Instant now) const;
     };
     /// What a lender can give in answer to one request.
@@ -300,6 +318,7 @@
     LoanRequest requestFor(Resource &resource, Incarnation lender, Instant now);
     LoanReply answer(Resource &resource, const LoanRequest &request, Instant now);
     Offer offerFor(const Resource &resource, const LoanRequest &request, Instant now) const;
+    void lendTokens(Resource &resource, const LoanRequest &request, LoanReply &reply, Instant now);
     void grantOwn(Resource &resource, const Offer &offer, LoanReply &reply, Instant now);
     void passOn(Resource &resource, const Offer &offer, LoanReply &reply, Instant now);
     void renew(Resource &resource, const LoanRequest &request, LoanReply &reply, Instant now);
@@ -398,7 +417,7 @@
         std::map<LoanId, Borrowed> borrowed;
         std::map<LoanId, Pending> pending;
         std::map<LoanId, Answer> answers;
-        DemandEstimate demand;
+        DemandEstimate demand { std::chrono::milliseconds(500) };
         LenderChoice lenders;
 
         int own(Instant at) const;
--- a/coordination/src/lenders.cpp
+++ b/coordination/src/lenders.cpp
@@ -7,10 +7,6 @@
 
 namespace {
 
-// Long enough to average over the gaps of a few requests a second, short enough to notice within
-// the wait for a loan that the traffic has moved.
-constexpr Interval demandWindow = std::chrono::milliseconds(500);
-
 // A round whose answers are late counts as over; a lost message should not block the next one for
 // longer than a request waits.
 constexpr Interval roundTimeout = loanWait;
@@ -18,6 +14,9 @@
 // A lender without spare tokens is asked again only after it may have refilled.
 constexpr Interval emptyPause = std::chrono::milliseconds(200);
 
+// Holders change with the traffic; older ones have passed on what they had.
+constexpr std::size_t maxHolders = 2;
+
 // A team above its rate finds nothing in any round; this bounds the requests it causes.
 constexpr Interval maxRoundInterval = std::chrono::milliseconds(400);
 
@@ -25,13 +24,13 @@
 
 void DemandEstimate::add(double count, Instant now)
 {
-    value_ = perSecond(now) + count / toSeconds(demandWindow);
+    value_ = perSecond(now) + count / window_;
     updatedAt_ = now;
 }
 
 double DemandEstimate::perSecond(Instant now) const
 {
-    return value_ * std::exp(-toSeconds(now - updatedAt_) / toSeconds(demandWindow));
+    return value_ * std::exp(-toSeconds(now - updatedAt_) / window_);
 }
 
 bool DemandEstimate::idle(Instant now) const
@@ -93,7 +92,6 @@
         return {};
     std::vector<Incarnation> chosen = candidates(now, suspects);
     chosen.resize(std::min(count, chosen.size()));
-    named_.clear();
     if (chosen.empty())
         return {};
     interval_ = fruitful_ ? loanRoundInterval : std::min(2 * interval_, maxRoundInterval);
@@ -108,14 +106,24 @@
 void LenderChoice::onReply(const LoanReply &reply, bool granted, Incarnation self, Instant now)
 {
     awaited_ -= std::min<std::size_t>(awaited_, 1);
-    if (granted)
+    if (granted) {
         emptyUntil_.erase(reply.lender);
-    else
+    } else {
         emptyUntil_[reply.lender] = now + emptyPause;
+    }
     const bool names = reply.holder && *reply.holder != self;
-    if (names && std::ranges::find(named_, *reply.holder) == named_.end())
-        named_.push_back(*reply.holder);
+    if (names)
+        addHolder(*reply.holder);
     fruitful_ = fruitful_ || granted || names;
 }
 
+void LenderChoice::addHolder(Incarnation holder)
+{
+    if (std::ranges::find(named_, holder) != named_.end())
+        return;
+    named_.push_back(holder);
+    if (named_.size() > maxHolders)
+        named_.erase(named_.begin());
+}
+
 } // namespace endivequay
--- a/coordination/src/rateshares.cpp
+++ b/coordination/src/rateshares.cpp
@@ -16,6 +16,12 @@
 // piece per domain.
 constexpr std::size_t lendersPerRound = 4;
 
+// Tokens that come in vain are lost for a while, so fewer lenders are asked for tokens alone.
+constexpr std::size_t tokenLendersPerRound = 2;
+
+// A single request is no reason to borrow rate for seconds.
+constexpr double minSteadyEvents = 3;
+
 // Demand covered by the tokens that an instance keeps or asks for: two round trips between regions.
 constexpr double coverSeconds = 0.1;
 
@@ -29,7 +35,8 @@
 // A rest shorter than this is not worth passing on.
 constexpr Interval minPassOnTerm = std::chrono::milliseconds(500);
 
-// Rate wanted above the measured demand, because arrivals vary.
+// Rate wanted above the measured demand, because arrivals vary. The square root added to it covers
+// two standard deviations of the arrivals in a second.
 constexpr double rateHeadroom = 1.2;
 
 std::int64_t toMillionths(double amount)
@@ -71,7 +78,23 @@
 
 Allotment RateShares::Resource::effective(Instant at) const
 {
-    return reducedBy(own(at), lentAt(at)) + borrowedAt(at);
+    return reducedBy(own(at) + borrowedAt(at), lentAt(at));
+}
+
+Allotment RateShares::Resource::cover(Instant now) const
+{
+    const Instant end = now + tokenLoanTerm + lenderMargin(tokenLoanTerm);
+    return reducedBy(own(now) + borrowedAt(end), lentAt(now));
+}
+
+bool RateShares::Resource::canGive(const Borrowed &loan, const Allotment &part, Instant now) const
+{
+    const Instant end = now + tokenLoanTerm + lenderMargin(tokenLoanTerm);
+    Allotment covering = own(now) + borrowedAt(end);
+    if (loan.deadline > end)
+        covering -= part;
+    const Allotment lentNow = lentAt(now);
+    return lowerOf(covering, lentNow) == lentNow;
 }
 
 Instant RateShares::Resource::nextChange(Instant at, Instant limit) const
@@ -126,7 +149,15 @@
 
 std::int64_t RateShares::Resource::demandRate(Instant now) const
 {
-    return demand.idle(now) ? 0 : toMillionths(demand.perSecond(now));
+    // The lower of both follows a fall at once and a rise only when it lasts.
+    const double rate = std::min(demand.perSecond(now), steadyDemand.perSecond(now));
+    return demand.idle(now) ? 0 : toMillionths(rate);
+}
+
+std::int64_t RateShares::Resource::wantedRate(Instant now) const
+{
+    const double demanded = static_cast<double>(demandRate(now)) / 1e6;
+    return toMillionths(rateHeadroom * demanded + 2 * std::sqrt(demanded));
 }
 
 std::int64_t RateShares::Resource::reserve(Instant now) const
@@ -134,14 +165,27 @@
     return toMillionths(static_cast<double>(demandRate(now)) / 1e6 * coverSeconds);
 }
 
+std::optional<Incarnation> RateShares::Resource::largestBorrower(Instant now) const
+{
+    std::map<Incarnation, std::int64_t> sums;
+    for (const auto &[loanId, loan] : lent) {
+        if (loan.deadline > now)
+            sums[loanId.borrower] += loan.amount.burst;
+    }
+    const auto largest
+        = std::ranges::max_element(sums, {}, [](const auto &sum) { return sum.second; });
+    if (largest == sums.end() || largest->second == 0)
+        return std::nullopt;
+    return largest->first;
+}
+
 bool RateShares::Resource::surplusWithout(const Allotment &amount, Instant now) const
 {
     if (demand.idle(now))
         return true;
     const Allotment limits = effective(now);
     const Allotment rest = reducedBy(limits, amount);
-    const auto wanted = 1.5 * static_cast<double>(demandRate(now));
-    return static_cast<double>(rest.rate) >= wanted
+    return rest.rate >= wantedRate(now) * 5 / 4
         && scaled(tokens, rest.burst, limits.burst) >= 2 * reserve(now) + million;
 }
 
@@ -225,8 +269,10 @@
     Resource *found = find(resource, now);
     if (!found)
         return false;
-    if (attempt == Attempt::First)
+    if (attempt == Attempt::First) {
         found->demand.add(count.value(), now);
+        found->steadyDemand.add(count.value(), now);
+    }
     const auto needed = static_cast<std::int64_t>(std::ceil(count.value() * 1e6));
     found->starved = found->tokens < needed;
     if (found->starved)
@@ -274,13 +320,19 @@
 std::vector<ShareOutgoing> RateShares::startRound(
     Resource &resource, std::int64_t waiting, Instant now)
 {
-    const auto lenders = resource.lenders.startRound(lendersPerRound, now, suspects_);
-    const std::int64_t demand = resource.demandRate(now);
-    const auto wantedRate = static_cast<std::int64_t>(rateHeadroom * static_cast<double>(demand));
-    const std::int64_t missingRate
-        = std::max<std::int64_t>(0, wantedRate - resource.effective(now).rate);
-    const std::int64_t missingTokens
-        = std::max(million, waiting + 2 * resource.reserve(now) - resource.tokens);
+    const bool lasting = resource.steadyDemand.perSecond(now) * 3 >= minSteadyEvents;
+    const std::int64_t kept = lasting ? 2 * resource.reserve(now) + million : 0;
+    const std::int64_t missingRate = lasting
+        ? std::max<std::int64_t>(0, resource.wantedRate(now) - resource.effective(now).rate)
+        : 0;
+    const std::int64_t missingTokens = std::max<std::int64_t>(0, waiting + kept - resource.tokens);
+    if (missingRate == 0 && missingTokens == 0)
+        return {};
+
+    if (const auto largest = resource.largestBorrower(now))
+        resource.lenders.addHolder(*largest);
+    const auto lenders = resource.lenders.startRound(
+        lasting ? lendersPerRound : tokenLendersPerRound, now, suspects_);
     std::vector<ShareOutgoing> out;
     for (const Incarnation lender : lenders) {
         LoanRequest request = requestFor(resource, lender, now);
@@ -323,21 +375,42 @@
         renew(resource, request, reply, now);
         return reply;
     }
-    const Offer offer = offerFor(resource, request, now);
-    const Allotment spare = reducedBy(resource.own(now), resource.lentAt(now));
-    if (spare.burst >= offer.amount.burst / 2 && spare.burst > 0)
-        grantOwn(resource, offer, reply, now);
-    else
-        passOn(resource, offer, reply, now);
-    if (reply.amount.burst > 0 || resource.lent.empty())
-        return reply;
-    const auto largest = std::ranges::max_element(
-        resource.lent, {}, [](const auto &entry) { return entry.second.amount.burst; });
-    if (largest->first.borrower != request.id.borrower)
-        reply.holder = largest->first.borrower;
+    if (request.amount != Allotment()) {
+        const Offer offer = offerFor(resource, request, now);
+        const Allotment spare = reducedBy(resource.own(now), resource.lentAt(now));
+        if (spare.burst >= offer.amount.burst / 2 && spare.burst > 0)
+            grantOwn(resource, offer, reply, now);
+        else
+            passOn(resource, offer, reply, now);
+    }
+    if (reply.amount.burst == 0)
+        lendTokens(resource, request, reply, now);
+    const auto largest = resource.largestBorrower(now);
+    if (reply.tokens < request.tokens && largest && *largest != request.id.borrower)
+        reply.holder = largest;
     return reply;
 }
 
+void RateShares::lendTokens(
+    Resource &resource, const LoanRequest &request, LoanReply &reply, Instant now)
+{
+    const bool idle = resource.demand.idle(now);
+    if (resource.starved && !idle)
+        return;
+    const std::int64_t spare = std::max<std::int64_t>(0, resource.tokens - resource.reserve(now));
+    // Half of the spare tokens, but a whole request if there is one.
+    const std::int64_t given = idle ? spare : std::max(spare / 2, std::min(spare, million));
+    reply.tokens
+        = std::min({ std::max<std::int64_t>(0, request.tokens), given, resource.cover(now).burst });
+    if (reply.tokens == 0)
+        return;
+    reply.amount = { 0, reply.tokens };
+    reply.term = tokenLoanTerm;
+    resource.lent[reply.id] = { reply.amount, now + tokenLoanTerm + lenderMargin(tokenLoanTerm) };
+    resource.tokens -= reply.tokens;
+    resource.clamp(now);
+}
+
 RateShares::Offer RateShares::offerFor(
     const Resource &resource, const LoanRequest &request, Instant now) const
 {
@@ -378,23 +451,25 @@
 
 void RateShares::passOn(Resource &resource, const Offer &offer, LoanReply &reply, Instant now)
 {
-    // The part passed on leaves this instance for good: it goes back to the lender at the end. The
-    // receiver's deadline counts from before the request arrived here, so it is the earlier one.
-    Allotment left = offer.amount;
-    Instant end = now + rateLoanTerm;
-    for (auto &[id, loan] : resource.borrowed) {
-        if (loan.deadline - now <= minPassOnTerm || left.burst == 0)
-            continue;
-        const Allotment part = lowerOf(left, loan.amount);
-        loan.amount -= part;
-        left -= part;
-        reply.amount += part;
-        end = std::min(end, loan.deadline);
-    }
-    std::erase_if(
-        resource.borrowed, [](const auto &entry) { return entry.second.amount == Allotment(); });
-    reply.tokens = std::min(offer.tokens, reply.amount.burst);
-    reply.term = std::max(Interval(0), end - now - lenderMargin(rateLoanTerm));
+    // The part passed on leaves this instance for good. The receiver's deadline counts from before
+    // its request arrived here, so it is the earlier one.
+    const auto largest = std::ranges::max_element(resource.borrowed, {}, [&](const auto &entry) {
+        const Borrowed &loan = entry.second;
+        return loan.deadline - now > minPassOnTerm ? loan.amount.rate : -1;
+    });
+    if (largest == resource.borrowed.end() || largest->second.deadline - now <= minPassOnTerm)
+        return;
+    Borrowed &loan = largest->second;
+    const Allotment part = lowerOf(offer.amount, loan.amount);
+    if (part.burst == 0 || !resource.canGive(loan, part, now))
+        return;
+    loan.amount -= part;
+    reply.amount = part;
+    reply.origin = loan.origin;
+    reply.tokens = std::min(offer.tokens, part.burst);
+    reply.term = loan.deadline - now - lenderMargin(rateLoanTerm);
+    if (loan.amount == Allotment())
+        resource.borrowed.erase(largest);
     resource.tokens -= reply.tokens;
     resource.clamp(now);
 }
@@ -406,10 +481,9 @@
     const Allotment own = resource.own(now);
     const bool covered = lowerOf(own, resource.lentAt(now)) == resource.lentAt(now);
     const bool starved = resource.starved && !resource.demand.idle(now);
-    if (former == resource.lent.end() || former->first.borrower != request.id.borrower || !covered
-        || starved)
+    if (former == resource.lent.end() || !covered || starved)
         return;
-    // What the borrower passed on stays lent until the former deadline.
+    // The parts of other holders stay lent until the former deadline.
     reply.amount = lowerOf(request.amount, former->second.amount);
     reply.term = rateLoanTerm;
     former->second.amount -= reply.amount;
@@ -433,7 +507,8 @@
     if (!granted || deadline <= now || reply.definition != found->definitions.currentDigest())
         return false;
 
-    const Borrowed loan { reply.lender, reply.amount, now, deadline, deadline - renewBefore };
+    const Borrowed loan { reply.origin.value_or(LoanOrigin { reply.lender, reply.id }),
+        reply.amount, now, deadline, deadline - renewBefore };
     if (sent.renews) {
         takeRenewal(*found, *sent.renews, reply, loan);
         return false;
@@ -465,9 +540,9 @@
     if (!found)
         return;
     const auto lent = found->lent.find(loan.id);
-    if (lent == found->lent.end() || std::exchange(lent->second.returned, true))
+    if (lent == found->lent.end() || !lent->second.returns.insert(loan.message).second)
         return;
-    // What the borrower passed on stays lent until the deadline.
+    // The parts of other holders stay lent until the deadline.
     const Allotment returned = lowerOf(loan.amount, lent->second.amount);
     lent->second.amount -= returned;
     found->tokens += std::min(loan.tokens, returned.burst);
@@ -477,35 +552,43 @@
 void RateShares::renewLoans(Resource &resource, Instant now, std::vector<ShareOutgoing> &out)
 {
     for (auto &[id, loan] : resource.borrowed) {
-        if (now < loan.renewAt || resource.surplusWithout(loan.amount, now))
+        if (now < loan.renewAt || loan.amount.rate == 0
+            || resource.surplusWithout(loan.amount, now))
             continue;
         loan.renewAt = now + renewRepeat;
-        LoanRequest request = requestFor(resource, loan.lender, now);
+        LoanRequest request = requestFor(resource, loan.origin.lender, now);
         resource.pending[request.id].renews = id;
-        request.renews = id;
+        request.renews = loan.origin.id;
         request.amount = loan.amount;
-        out.push_back({ loan.lender, request });
+        out.push_back({ loan.origin.lender, request });
     }
 }
 
 void RateShares::returnLoans(Resource &resource, Instant now, std::vector<ShareOutgoing> &out)
 {
     const auto unneeded = [&](const auto &entry) {
-        return now - entry.second.receivedAt >= minHolding
-            && resource.surplusWithout(entry.second.amount, now);
+        const Borrowed &loan = entry.second;
+        // Tokens alone are for requests that waited; what they left over goes back.
+        if (loan.amount.rate == 0)
+            return !resource.starved && loan.deadline - now > minHolding / 3
+                && now > loan.receivedAt && resource.canGive(loan, loan.amount, now);
+        return now - loan.receivedAt >= minHolding && resource.surplusWithout(loan.amount, now)
+            && resource.canGive(loan, loan.amount, now);
     };
     // One at a time, because each changes what is surplus.
     const auto found = std::ranges::find_if(resource.borrowed, unneeded);
     if (found == resource.borrowed.end())
         return;
-    const auto [id, loan] = *found;
+    const Borrowed loan = found->second;
     const Allotment limits = resource.effective(now);
     const std::int64_t tokens
         = std::min(loan.amount.burst, scaled(resource.tokens, loan.amount.burst, limits.burst));
     resource.borrowed.erase(found);
     resource.tokens -= tokens;
     resource.clamp(now);
-    out.push_back({ loan.lender, LoanReturn { id, resource.id, loan.amount, tokens, 0 } });
+    out.push_back({ loan.origin.lender,
+        LoanReturn {
+            loan.origin.id, { self_, ++lastSequence_ }, resource.id, loan.amount, tokens, 0 } });
 }
 
 std::vector<ShareOutgoing> RateShares::tick(Instant now)
@@ -516,10 +599,7 @@
         renewLoans(resource, now, out);
         returnLoans(resource, now, out);
         // Ask before the bucket is empty, so that requests need not wait.
-        const std::int64_t demand = resource.demandRate(now);
-        const std::int64_t missing = demand - resource.effective(now).rate;
-        if (resource.definitions.current() && missing > 0
-            && resource.tokens < 2 * resource.reserve(now))
+        if (resource.definitions.current() && resource.tokens < 2 * resource.reserve(now))
             std::ranges::move(startRound(resource, 0, now), std::back_inserter(out));
     }
     return out;
--- a/coordination/src/slotshares.cpp
+++ b/coordination/src/slotshares.cpp
@@ -253,7 +253,7 @@
                 && (now - entry.second.usedAt >= unusedReturn || entry.second.slots == 0);
         };
         for (const auto &[id, loan] : resource.borrowed | std::views::filter(unused))
-            out.push_back({ loan.lender, LoanReturn { id, resource.id, {}, 0, loan.slots } });
+            out.push_back({ loan.lender, LoanReturn { id, id, resource.id, {}, 0, loan.slots } });
         std::erase_if(resource.borrowed, unused);
     }
     return out;
