--- a/bench/limits/limits.cpp
+++ b/bench/limits/limits.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-constexpr std::uint64_t seed = 20261204;
+constexpr std::uint64_t defaultSeed = 20261204;
 constexpr int domainCount = 6;
 constexpr int instancesPerDomain = 2;
 constexpr int instanceCount = domainCount * instancesPerDomain;
 constexpr int teamCount = 8;
 constexpr auto warmUp = seconds(20);
-constexpr auto measured = seconds(200);
+constexpr auto measured = seconds(400);
 constexpr auto rotationPeriod = seconds(10);
 /// Offered load of each team as a part of its rate.
 constexpr double offered = 0.7;
@@ -107,7 +107,7 @@
 class Run
 {
 public:
-    explicit Run(bool rotates)
+    Run(bool rotates, std::uint64_t seed)
         : rotates_(rotates)
         , teams_(zipfTeams())
         , fleet_(seed, regions(), domainNames(), instancesPerDomain, definitions())
@@ -289,12 +289,13 @@
 
 } // namespace
 
-int main()
+int main(int argc, char **argv)
 {
+    const std::uint64_t seed = argc > 1 ? std::stoull(argv[1]) : defaultSeed;
     fmt::print("seed {}\n", seed);
-    Run steadyRun(false);
+    Run steadyRun(false, seed);
     const Counts steady = steadyRun.run();
-    Run rotationRun(true);
+    Run rotationRun(true, seed);
     const Counts rotation = rotationRun.run();
     for (std::size_t team = 0; team < teamCount; ++team)
         fmt::print("team {}: steady {} of {}, rotation {} of {}\n", team + 1,
--- a/coordination/src/lenders.cpp
+++ b/coordination/src/lenders.cpp
@@ -11,8 +11,9 @@
 // longer than a request waits.
 constexpr Interval roundTimeout = loanWait;
 
-// A lender without spare tokens is asked again only after it may have refilled.
-constexpr Interval emptyPause = std::chrono::milliseconds(200);
+// A lender without spare tokens is left out of the next round unless that is the last one that a
+// waiting request gets.
+constexpr Interval emptyPause = std::chrono::milliseconds(30);
 
 // Holders change with the traffic; older ones have passed on what they had.
 constexpr std::size_t maxHolders = 2;
@@ -20,6 +21,9 @@
 // A team above its rate finds nothing in any round; this bounds the requests it causes.
 constexpr Interval maxRoundInterval = std::chrono::milliseconds(400);
 
+// After a rest, earlier rounds say nothing about the next one.
+constexpr Interval restInterval = std::chrono::milliseconds(100);
+
 } // namespace
 
 void DemandEstimate::add(double count, Instant now)
@@ -94,7 +98,8 @@
     chosen.resize(std::min(count, chosen.size()));
     if (chosen.empty())
         return {};
-    interval_ = fruitful_ ? loanRoundInterval : std::min(2 * interval_, maxRoundInterval);
+    const bool rested = now - nextRoundAt_ > restInterval;
+    interval_ = fruitful_ || rested ? loanRoundInterval : std::min(2 * interval_, maxRoundInterval);
     fruitful_ = false;
     cursor_ += chosen.size();
     awaited_ = chosen.size();
--- a/coordination/src/rateshares.cpp
+++ b/coordination/src/rateshares.cpp
@@ -17,13 +17,14 @@
 constexpr std::size_t lendersPerRound = 4;
 
 // Tokens that come in vain are lost for a while, so fewer lenders are asked for tokens alone.
-constexpr std::size_t tokenLendersPerRound = 2;
+constexpr std::size_t tokenLendersPerRound = 3;
 
 // A single request is no reason to borrow rate for seconds.
-constexpr double minSteadyEvents = 3;
+constexpr double minSteadyEvents = 6;
 
-// Demand covered by the tokens that an instance keeps or asks for: two round trips between regions.
-constexpr double coverSeconds = 0.1;
+// Demand covered by the tokens that an instance keeps or asks for: one and a half round trips
+// between regions. More than that is missing elsewhere.
+constexpr double coverSeconds = 0.06;
 
 // Below this rest a loan is renewed: the renewal and one repetition fit in.
 constexpr Interval renewBefore = std::chrono::milliseconds(1500);
@@ -157,7 +158,12 @@
 std::int64_t RateShares::Resource::wantedRate(Instant now) const
 {
     const double demanded = static_cast<double>(demandRate(now)) / 1e6;
-    return toMillionths(rateHeadroom * demanded + 2 * std::sqrt(demanded));
+    if (demanded <= 0)
+        return 0;
+    // The missing tokens are to be refilled in a second, or other instances' full buckets would
+    // waste their rate.
+    const std::int64_t missing = effective(now).burst - tokens;
+    return toMillionths(rateHeadroom * demanded + 2 * std::sqrt(demanded)) + missing;
 }
 
 std::int64_t RateShares::Resource::reserve(Instant now) const
@@ -599,7 +605,10 @@
         renewLoans(resource, now, out);
         returnLoans(resource, now, out);
         // Ask before the bucket is empty, so that requests need not wait.
-        if (resource.definitions.current() && resource.tokens < 2 * resource.reserve(now))
+        const Allotment limits = resource.effective(now);
+        const bool slow
+            = resource.tokens < limits.burst / 2 && resource.wantedRate(now) > limits.rate;
+        if (resource.definitions.current() && (slow || resource.tokens < 2 * resource.reserve(now)))
             std::ranges::move(startRound(resource, 0, now), std::back_inserter(out));
     }
     return out;
