--- a/coordination/src/definitions.cpp
+++ b/coordination/src/definitions.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 
 namespace endivequay {
 
@@ -31,8 +30,7 @@
 std::vector<FailureDomainId> sortedUnique(std::vector<FailureDomainId> domains)
 {
     std::ranges::sort(domains);
-    const auto repeated = std::ranges::unique(domains);
-    domains.erase(repeated.begin(), repeated.end());
+    domains.erase(std::unique(domains.begin(), domains.end()), domains.end());
     return domains;
 }
 
@@ -116,7 +114,8 @@
 
 std::uint64_t ResourceDefinition::digest() const
 {
-    const auto names = domains | std::views::transform(&FailureDomainId::value);
+    std::vector<std::string> names;
+    std::ranges::transform(domains, std::back_inserter(names), &FailureDomainId::value);
     return hash64(fmt::format("{} {} {} {} {} {}", id.value(), static_cast<int>(kind),
         piecesPerDomain, total.rate, total.burst, fmt::join(names, " ")));
 }
--- a/coordination/src/ledger.cpp
+++ b/coordination/src/ledger.cpp
@@ -3,7 +3,6 @@
 #include "endivequay/digest.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace endivequay {
 
@@ -125,7 +124,7 @@
 std::pair<Revision, CellSet> OwnerState::unusedCells() const
 {
     Revision revision = leaving_ ? ledger_.revision : Revision();
-    for (const Revision released : released_ | std::views::values)
+    for (const auto &[cell, released] : released_)
         revision = std::max(revision, released);
     CellSet cells;
     if (leaving_ && revision == ledger_.revision)
@@ -160,12 +159,11 @@
 std::optional<Incarnation> keeperOf(
     const FailureDomainId &domain, const std::vector<LedgerMember> &members, Instant now)
 {
-    auto live = members
-        | std::views::filter([&](const LedgerMember &member) { return isReceiver(member, now); });
-    const auto lowest = std::ranges::min_element(live, {}, [&](const LedgerMember &member) {
-        return std::pair(rank(domain.value(), member.incarnation), member.incarnation);
+    const auto lowest = std::ranges::min_element(members, {}, [&](const LedgerMember &member) {
+        return std::tuple(
+            !isReceiver(member, now), rank(domain.value(), member.incarnation), member.incarnation);
     });
-    if (lowest == live.end())
+    if (lowest == members.end() || !isReceiver(*lowest, now))
         return std::nullopt;
     return lowest->incarnation;
 }
@@ -240,7 +238,7 @@
 CellSet Keeper::movableCells(Instant now) const
 {
     CellSet movable = released_ | ledger_->ledger.cellsOf(Incarnation());
-    for (const Incarnation owner : ledger_->ledger.owners() | std::views::keys) {
+    for (const auto &[owner, details] : ledger_->ledger.owners()) {
         if (reclaimable(owner, now))
             movable |= ledger_->ledger.cellsOf(owner);
     }
--- a/coordination/src/rateshares.cpp
+++ b/coordination/src/rateshares.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <ranges>
 
 namespace endivequay {
 
@@ -60,7 +59,7 @@
 Allotment RateShares::Resource::lentAt(Instant at) const
 {
     Allotment sum;
-    for (const Lent &loan : lent | std::views::values) {
+    for (const auto &[loanId, loan] : lent) {
         if (loan.deadline > at)
             sum += loan.amount;
     }
@@ -70,7 +69,7 @@
 Allotment RateShares::Resource::borrowedAt(Instant at) const
 {
     Allotment sum;
-    for (const Borrowed &loan : borrowed | std::views::values) {
+    for (const auto &[loanId, loan] : borrowed) {
         if (loan.deadline > at)
             sum += loan.amount;
     }
@@ -106,9 +105,9 @@
     };
     consider(usableUntil);
     consider(definitions.nextChange(at));
-    for (const Lent &loan : lent | std::views::values)
+    for (const auto &[loanId, loan] : lent)
         consider(loan.deadline);
-    for (const Borrowed &loan : borrowed | std::views::values)
+    for (const auto &[loanId, loan] : borrowed)
         consider(loan.deadline);
     return limit;
 }
@@ -213,7 +212,7 @@
     const std::vector<ResourceDefinition> &definitions, Instant now, RaiseRule rule)
 {
     std::map<ResourceId, std::optional<ResourceDefinition>> next;
-    for (const ResourceId &id : resources_ | std::views::keys)
+    for (const auto &[id, resource] : resources_)
         next[id] = std::nullopt;
     for (const ResourceDefinition &definition : definitions) {
         if (definition.kind == ResourceKind::Rate)
@@ -250,7 +249,7 @@
     const bool changed = cells != cells_;
     cells_ = cells;
     usableUntil_ = usableUntil;
-    for (Resource &resource : resources_ | std::views::values) {
+    for (auto &[resourceId, resource] : resources_) {
         resource.advance(now);
         resource.usableUntil = usableUntil;
         if (!changed)
@@ -263,7 +262,7 @@
 void RateShares::setOwners(std::vector<DomainOwners> domains)
 {
     owners_ = std::move(domains);
-    for (Resource &resource : resources_ | std::views::values) {
+    for (auto &[resourceId, resource] : resources_) {
         if (const auto &definition = resource.definitions.current())
             resource.lenders.setOwners(*definition, owners_, self_);
     }
@@ -363,7 +362,7 @@
     }
     if (const auto known = found->answers.find(request.id); known != found->answers.end())
         return known->second.reply;
-    const LoanReply reply = answer(*found, request, now);
+    LoanReply reply = answer(*found, request, now);
     found->answers[request.id] = { reply, now + rateLoanTerm + lenderMargin(rateLoanTerm) };
     return reply;
 }
@@ -600,7 +599,7 @@
 std::vector<ShareOutgoing> RateShares::tick(Instant now)
 {
     std::vector<ShareOutgoing> out;
-    for (Resource &resource : resources_ | std::views::values) {
+    for (auto &[resourceId, resource] : resources_) {
         resource.advance(now);
         renewLoans(resource, now, out);
         returnLoans(resource, now, out);
@@ -616,7 +615,8 @@
 
 bool RateShares::fitsWithin(const CellSet &cells, Instant now)
 {
-    return std::ranges::all_of(resources_ | std::views::values, [&](Resource &resource) {
+    return std::ranges::all_of(resources_, [&](auto &entry) {
+        Resource &resource = entry.second;
         resource.advance(now);
         const Allotment lent = resource.lentAt(now);
         return lent == Allotment()
--- a/coordination/src/slotshares.cpp
+++ b/coordination/src/slotshares.cpp
@@ -1,7 +1,6 @@
 #include "endivequay/shares.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace endivequay {
 
@@ -23,7 +22,7 @@
 int SlotShares::Resource::lentSlots() const
 {
     int sum = 0;
-    for (const Lent &loan : lent | std::views::values)
+    for (const auto &[loanId, loan] : lent)
         sum += loan.slots;
     return sum;
 }
@@ -61,7 +60,7 @@
     const std::vector<ResourceDefinition> &definitions, Instant now, RaiseRule rule)
 {
     std::map<ResourceId, std::optional<ResourceDefinition>> next;
-    for (const ResourceId &id : resources_ | std::views::keys)
+    for (const auto &[id, resource] : resources_)
         next[id] = std::nullopt;
     for (const ResourceDefinition &definition : definitions) {
         if (definition.kind == ResourceKind::Counted)
@@ -76,7 +75,7 @@
             continue;
         resource.definitions.setCells(domain_, cells_);
         // No new request in borrowed slots; those in flight end before the raise delay does.
-        for (Borrowed &loan : resource.borrowed | std::views::values)
+        for (auto &[loanId, loan] : resource.borrowed)
             loan.slots = 0;
         if (definition)
             resource.lenders.setOwners(*definition, owners_, self_);
@@ -93,7 +92,7 @@
     const bool changed = cells != cells_;
     cells_ = cells;
     usableUntil_ = usableUntil;
-    for (Resource &resource : resources_ | std::views::values) {
+    for (auto &[resourceId, resource] : resources_) {
         resource.usableUntil = usableUntil;
         if (changed)
             resource.definitions.setCells(domain_, cells);
@@ -103,7 +102,7 @@
 void SlotShares::setOwners(std::vector<DomainOwners> domains)
 {
     owners_ = std::move(domains);
-    for (Resource &resource : resources_ | std::views::values) {
+    for (auto &[resourceId, resource] : resources_) {
         if (const auto &definition = resource.definitions.current())
             resource.lenders.setOwners(*definition, owners_, self_);
     }
@@ -162,7 +161,7 @@
     if (!found)
         return 0;
     int sum = found->freeOwn(now);
-    for (const Borrowed &loan : found->borrowed | std::views::values) {
+    for (const auto &[loanId, loan] : found->borrowed) {
         if (loan.deadline > now + maxRequestTime)
             sum += std::max(0, loan.slots - loan.inFlight);
     }
@@ -246,14 +245,18 @@
 std::vector<ShareOutgoing> SlotShares::tick(Instant now)
 {
     std::vector<ShareOutgoing> out;
-    for (Resource &resource : resources_ | std::views::values) {
+    for (auto &[resourceId, resource] : resources_) {
         resource.dropExpired(now);
         const auto unused = [&](const auto &entry) {
             return entry.second.inFlight == 0
                 && (now - entry.second.usedAt >= unusedReturn || entry.second.slots == 0);
         };
-        for (const auto &[id, loan] : resource.borrowed | std::views::filter(unused))
-            out.push_back({ loan.lender, LoanReturn { id, id, resource.id, {}, 0, loan.slots } });
+        for (const auto &entry : resource.borrowed) {
+            const auto &[id, loan] = entry;
+            if (unused(entry))
+                out.push_back(
+                    { loan.lender, LoanReturn { id, id, resource.id, {}, 0, loan.slots } });
+        }
         std::erase_if(resource.borrowed, unused);
     }
     return out;
@@ -261,7 +264,8 @@
 
 bool SlotShares::fitsWithin(const CellSet &cells, Instant now)
 {
-    return std::ranges::all_of(resources_ | std::views::values, [&](Resource &resource) {
+    return std::ranges::all_of(resources_, [&](auto &entry) {
+        Resource &resource = entry.second;
         resource.dropExpired(now);
         const int used = resource.inFlight + resource.lentSlots();
         return used == 0 || used <= resource.definitions.lowestOf(cells, now).second;
@@ -277,7 +281,7 @@
     account.own = found->own(now);
     account.lent = found->lentSlots();
     account.inFlightOwn = found->inFlight;
-    for (const Borrowed &loan : found->borrowed | std::views::values) {
+    for (const auto &[loanId, loan] : found->borrowed) {
         account.borrowed += loan.slots;
         account.inFlightBorrowed += loan.inFlight;
     }
