--- a/policy/include/endivequay/admissionqueue.h
+++ b/policy/include/endivequay/admissionqueue.h
@@ -60,6 +60,7 @@
     std::vector<DroppedRequest> expire(Instant now, Interval expectedTime = {});
     /// Removes a request that its caller gave up. Returns whether it was waiting.
     bool remove(Ticket ticket);
+    bool contains(Ticket ticket) const;
 
     /// Tells the queue that requests leave it at \a perSecond, for the retry times.
     void setServiceRate(RequestRate perSecond) { serviceRate_ = perSecond; }
--- a/policy/src/admissionqueue.cpp
+++ b/policy/src/admissionqueue.cpp
@@ -114,6 +114,14 @@
     return false;
 }
 
+bool AdmissionQueue::contains(Ticket ticket) const
+{
+    return std::ranges::any_of(teams_, [&](const auto &entry) {
+        return std::ranges::any_of(entry.second.waiting,
+            [&](const Entry &waiting) { return waiting.request.ticket == ticket; });
+    });
+}
+
 std::size_t AdmissionQueue::size(const TeamId &team) const
 {
     const auto found = teams_.find(team);
