Let only shed load confirm a load report

Change: trust falls by a quarter per good response at the reported limit, and only shed load restores it.

--- a/policy/include/endivequay/loadestimate.h
+++ b/policy/include/endivequay/loadestimate.h
@@ -41,9 +41,9 @@
 
 /// Estimate of the usable slots of the upstreams of one service in the own failure domain.
 ///
-/// Own slots bound the estimate. A load report can only lower it, and loses its weight when own
-/// responses contradict it: a report of a full upstream that answers in its usual time is wrong.
-/// A missing report changes nothing. Not thread safe.
+/// Own slots bound the estimate. A load report can only lower it, and loses its weight with every
+/// good response at the limit that it sets; shed load restores the weight. A missing report
+/// changes nothing. Not thread safe.
 class UpstreamView
 {
 public:
--- a/policy/src/loadestimate.cpp
+++ b/policy/src/loadestimate.cpp
@@ -25,9 +25,9 @@
 constexpr double slowRatio = 3;
 /// Time between requests that observe whether a slow upstream is still slow.
 constexpr Interval observePause = std::chrono::seconds(1);
-/// Loss of trust in a report per response that contradicts it, and gain per one that confirms it.
-constexpr double trustLoss = 0.1;
-constexpr double trustGain = 0.5;
+/// Loss of trust in a report per good response at the reported limit. Four are enough, so that a
+/// wrong report costs less than a second.
+constexpr double trustLoss = 0.25;
 
 double factorOf(const LoadReport &report, int allSlots)
 {
@@ -122,11 +122,9 @@
 void UpstreamView::good(State &state, Interval latency, Instant now)
 {
     const double seconds = toSeconds(latency);
-    const bool isSlow = meanLatency_ > 0 && seconds > slowRatio * meanLatency_;
     const bool reportIsBinding = state.reportFactor < 1 && state.inFlight >= usable(state, now);
     if (reportIsBinding)
-        state.reportTrust = isSlow ? std::min(1.0, state.reportTrust + trustGain)
-                                   : std::max(0.0, state.reportTrust - trustLoss);
+        state.reportTrust = std::max(0.0, state.reportTrust - trustLoss);
     state.failuresInRow = 0;
     state.ejections = 0;
     state.ejectedUntil.reset();
@@ -141,7 +139,7 @@
 
 void UpstreamView::shed(State &state, Instant now)
 {
-    state.reportTrust = std::min(1.0, state.reportTrust + trustGain);
+    state.reportTrust = 1;
     state.lastGood = now;
     if (now - state.lastCut < cutPause)
         return;
