Keep no more than one saved retry

Cause: attempts_per_request was 1.519 in a domain whose upstreams all fail: ejection leaves few first attempts there, and each class had saved up to ten retries before. Change: a team and service saves at most one retry.

--- a/policy/include/endivequay/retrybudget.h
+++ b/policy/include/endivequay/retrybudget.h
@@ -15,9 +15,9 @@
 {
 public:
     static constexpr double share = 0.1;
-    /// Credit kept of quiet times, in retries. More would allow a burst of retries on an upstream
-    /// that has just failed.
-    static constexpr double maxCredit = 10;
+    /// Credit kept of quiet times, in retries. Ten were tried: with all upstreams of a domain
+    /// failing, ejection leaves so few requests that saved credit alone made 1.5 attempts of each.
+    static constexpr double maxCredit = 1;
 
     /// Counts a first attempt.
     void requestStarted(const ServiceId &service, const TeamId &team);
