Count the causes of losses in the experiment

Cause: the table did not say why requests were lost. Change: results.csv has the last thing that happened to lost requests.

--- a/bench/experiment/src/report.cpp
+++ b/bench/experiment/src/report.cpp
@@ -123,15 +123,25 @@
     return svg + "</svg>\n";
 }
 
+/// "cause=count" pairs separated by spaces.
+std::string lossesOf(const RunResult &result)
+{
+    std::string text;
+    for (const auto &[cause, count] : result.losses)
+        text += fmt::format("{}{}={}", text.empty() ? "" : " ", cause, count);
+    return text;
+}
+
 std::string csvOf(const std::vector<RunResult> &results)
 {
     std::string csv = "deployment,schedule,strategy,requests,mean_ms,p99_ms,headroom,drain_s,"
-                      "worst_team_share,wrongful_refusals,attempts_per_request,score\n";
+                      "worst_team_share,wrongful_refusals,attempts_per_request,score,losses\n";
     for (const RunResult &r : results)
-        csv += fmt::format("{},{},{},{},{:.3f},{:.3f},{:.4f},{:.3f},{:.5f},{:.6f},{:.4f},{:.3f}\n",
+        csv += fmt::format(
+            "{},{},{},{},{:.3f},{:.3f},{:.4f},{:.3f},{:.5f},{:.6f},{:.4f},{:.3f},{}\n",
             r.deployment, r.schedule, strategyName(r.strategy), r.requests, r.meanLatency * 1e3,
             r.p99Latency * 1e3, r.headroom, r.drainTime, r.worstTeamShare, r.wrongfulRefusals,
-            r.attemptsPerRequest, score(r));
+            r.attemptsPerRequest, score(r), lossesOf(r));
     return csv;
 }
 
--- a/bench/experiment/src/run.cpp
+++ b/bench/experiment/src/run.cpp
@@ -113,6 +113,8 @@
     bool isDeferrable = false;
     bool isCounted = false;
     bool wasTried = false;
+    bool isAnswered = false;
+    std::string_view fate = "waiting"; ///< Last thing that happened to it.
     int hops = 0;
     std::vector<int> choices;
     std::size_t nextChoice = 0;
@@ -469,8 +471,10 @@
 void World::tryNextChoice(Ticket ticket)
 {
     Request &request = requests_[ticket];
-    if (request.nextChoice >= request.choices.size())
-        return; // A request that is not answered counts as refused.
+    if (request.nextChoice >= request.choices.size()) {
+        request.fate = "no_choice_left";
+        return;
+    }
     const int index = request.choices[request.nextChoice++];
     request.path = deployment_.fromSite(request.site, instances_[index].domain);
     after(request.path, [=, this] { arrive(ticket, index); });
@@ -486,8 +490,10 @@
     // A caller goes on to the next choice when the instance has nothing to run the request on.
     if (strategy_ != Strategy::Product && node.usableSlots(now_) == 0)
         return after(request.path, [=, this] { tryNextChoice(ticket); });
-    if (request.hops == 0 && !takesShiftToken(request, instance))
+    if (request.hops == 0 && !takesShiftToken(request, instance)) {
+        request.fate = "shift_cap_at_arrival";
         return;
+    }
     enqueue(ticket, index);
 }
 
@@ -573,6 +579,8 @@
         return;
     }
     node.remove(ticket);
+    if (const auto *refusal = std::get_if<Refusal>(&decision))
+        request.fate = refusalName(refusal->reason);
     if (const auto *passOn = std::get_if<PassOn>(&decision)) {
         const ForwardTarget &target = targets[passOn->target];
         const int other = instanceIndex_.at(target.address);
@@ -639,7 +647,7 @@
 void World::finish(
     Ticket ticket, int index, Upstream &upstream, UpstreamOutcome outcome, Interval latency)
 {
-    const Request &request = requests_[ticket];
+    Request &request = requests_[ticket];
     Instance &instance = instances_[index];
     --upstream.inFlight;
     instance.nodes[request.service].finished(upstream.id, outcome, latency, now_);
@@ -647,6 +655,10 @@
         result_.drainTime = std::max(result_.drainTime, toSeconds(now_ - *drainedAt_));
     const bool mayRetry = outcome == UpstreamOutcome::Shed
         || (outcome == UpstreamOutcome::Failed && !request.isOnce);
+    request.fate = outcome == UpstreamOutcome::Good ? "late"
+        : outcome == UpstreamOutcome::Shed          ? "shed"
+        : outcome == UpstreamOutcome::Failed        ? "failed"
+                                                    : "deadline_at_upstream";
     if (outcome == UpstreamOutcome::Good)
         answered(ticket);
     else if (mayRetry
@@ -658,9 +670,10 @@
 
 void World::answered(Ticket ticket)
 {
-    const Request &request = requests_[ticket];
+    Request &request = requests_[ticket];
     if (!request.isCounted || now_ + request.path > request.deadline)
         return;
+    request.isAnswered = true;
     counts_[request.service][request.requestClass].good += 1;
     if (!request.isDeferrable)
         latencies_.push_back(toSeconds(now_ + request.path - request.sentAt));
@@ -943,6 +956,10 @@
         result.shiftCapExcess
             = std::max(result.shiftCapExcess, shiftCapExcess(static_cast<int>(service)));
     }
+    for (const Request &request : requests_) {
+        if (request.isCounted && !request.isAnswered)
+            ++result.losses[std::string(request.fate)];
+    }
     result.wrongfulRefusals = 1 - good / result.requests;
     std::vector<double> sorted = latencies_;
     std::ranges::sort(sorted);
--- a/bench/experiment/src/run.h
+++ b/bench/experiment/src/run.h
@@ -5,6 +5,7 @@
 #include "schedule.h"
 #include "workload.h"
 
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -43,6 +44,8 @@
     double slotsExcess = 0; ///< Requests in flight at an upstream above its slots.
     double regionExcess = 0; ///< Requests in flight in a region above its slots.
     double shiftCapExcess = 0; ///< Share of a service's traffic shifted in a window above the cap.
+    /// Counted requests without a good response, by the last thing that happened to them.
+    std::map<std::string, int> losses;
     double lastNewWork = 0; ///< From the order to drain to the last start at a leaving upstream.
 };
 
