Count passed-on requests until they come back

Cause: drain, failing and cold lost thousands of requests in queues while other domains had free slots: a target's free slots were lowered for every request passed on since its last report, so that each free slot was used once per second. Change: only requests that have not come back are subtracted (contract in forwarding.h and the experiment's wiring).

--- a/bench/experiment/src/run.cpp
+++ b/bench/experiment/src/run.cpp
@@ -116,6 +116,9 @@
     bool isAnswered = false;
     std::string_view fate = "waiting"; ///< Last thing that happened to it.
     int hops = 0;
+    int passedOnBy = 0; ///< Instances of the last hop, while \a isPassedOn.
+    int passedOnTo = 0;
+    bool isPassedOn = false;
     std::vector<int> choices;
     std::size_t nextChoice = 0;
 };
@@ -215,6 +218,7 @@
     void finish(
         Ticket ticket, int instance, Upstream &upstream, UpstreamOutcome outcome, Interval latency);
     void answered(Ticket ticket);
+    void comeBack(Ticket ticket);
 
     void exchangeDigests();
     void reportLoad();
@@ -252,6 +256,8 @@
     std::vector<Steering> steering_; ///< By service; of the product.
     std::vector<std::vector<Digest>> digests_; ///< By service and instance.
     std::vector<std::vector<Digest>> nextDigests_;
+    /// Requests passed on and not yet back, by service, from and to.
+    std::vector<std::array<std::array<int, instanceCount>, instanceCount>> outstanding_;
     std::set<int> knownDown_; ///< Instances that look-ups do not name.
     std::vector<ShiftPlan> lookupPlans_;
     std::size_t turn_ = 0;
@@ -302,6 +308,7 @@
     }
     createUpstreams();
     createInstances();
+    outstanding_.resize(services);
     digests_.assign(services, std::vector<Digest>(instanceCount));
     exchangeDigests();
 }
@@ -568,7 +575,9 @@
         const RegionId targetRegion = regionName(regionOf(target.domain));
         targets.push_back({ target.address, FailureDomainId(std::to_string(target.domain)),
             targetRegion, deployment_.between(instance.domain, target.domain),
-            digests_[request.service][other].freeSlots, !knownDown_.contains(other),
+            digests_[request.service][other].freeSlots
+                - outstanding_[request.service][index][other],
+            !knownDown_.contains(other),
             isHome(targetRegion, regionName(regionOf(request.site)),
                 deployment_.services[request.service].id, request.block, instance.plans, now_) });
     }
@@ -584,7 +593,11 @@
     if (const auto *passOn = std::get_if<PassOn>(&decision)) {
         const ForwardTarget &target = targets[passOn->target];
         const int other = instanceIndex_.at(target.address);
-        digests_[request.service][other].freeSlots -= 1;
+        request.isPassedOn = true;
+        request.passedOnBy = index;
+        request.passedOnTo = other;
+        ++outstanding_[request.service][index][other];
+        at(request.deadline, [=, this] { comeBack(ticket); });
         if (target.region != region && !target.isHome)
             unplannedMoves_[request.service].push_back(now_);
         ++request.hops;
@@ -664,10 +677,21 @@
     else if (mayRetry
         && instance.retries.tryRetry(
             deployment_.services[request.service].id, teamName(request.requestClass)))
-        enqueue(ticket, index);
+        return enqueue(ticket, index);
+    comeBack(ticket);
     dispatch(index, request.service);
 }
 
+/// Ends the hop of a request that was passed on.
+void World::comeBack(Ticket ticket)
+{
+    Request &request = requests_[ticket];
+    if (!request.isPassedOn)
+        return;
+    request.isPassedOn = false;
+    --outstanding_[request.service][request.passedOnBy][request.passedOnTo];
+}
+
 void World::answered(Ticket ticket)
 {
     Request &request = requests_[ticket];
--- a/policy/include/endivequay/forwarding.h
+++ b/policy/include/endivequay/forwarding.h
@@ -43,7 +43,9 @@
     FailureDomainId domain;
     RegionId region;
     Interval delay {}; ///< One way, from this instance.
-    double freeSlots = 0; ///< Last known, less what this instance passed on since then.
+    /// Last known, less the requests that this instance has passed on to it and that have not come
+    /// back. Counting all passed on since the report would use a free slot only once per report.
+    double freeSlots = 0;
     bool usable = true; ///< Reachable, not suspect, leaving or draining.
     bool isHome = false; ///< isHome() of the target's region for the request.
 };
