Spread passed-on requests at random by free slots

Cause: all instances see the same stale figures and passed on to the same target. Change: among targets at the same distance the order is a weighted rendezvous hash of request and target; the experiment also tells drops of a full queue from other losses.

--- a/bench/experiment/src/node.cpp
+++ b/bench/experiment/src/node.cpp
@@ -71,12 +71,16 @@
         view_.finished(id, outcome, latency, now);
 }
 
-void Node::push(const WaitingRequest &request, Instant now)
+std::optional<Ticket> Node::push(const WaitingRequest &request, Instant now)
 {
-    if (strategy_ == Strategy::Product)
-        fair_.push(request, now);
-    else if (queue_.size() < AdmissionQueue::defaultLimit)
-        queue_.push_back(request);
+    if (strategy_ == Strategy::Product) {
+        const auto dropped = fair_.push(request, now);
+        return dropped ? std::optional(dropped->ticket) : std::nullopt;
+    }
+    if (queue_.size() >= AdmissionQueue::defaultLimit)
+        return request.ticket;
+    queue_.push_back(request);
+    return std::nullopt;
 }
 
 std::optional<WaitingRequest> Node::pop(Instant now)
--- a/bench/experiment/src/node.h
+++ b/bench/experiment/src/node.h
@@ -31,8 +31,8 @@
     void started(const UpstreamId &id, Instant now);
     void finished(const UpstreamId &id, UpstreamOutcome outcome, Interval latency, Instant now);
 
-    /// Adds a request; a full queue gives one up.
-    void push(const WaitingRequest &request, Instant now);
+    /// Adds a request; a full queue gives one up, which is returned.
+    std::optional<Ticket> push(const WaitingRequest &request, Instant now);
     std::optional<WaitingRequest> pop(Instant now);
     void expire(Instant now);
     bool contains(Ticket ticket) const { return fair_.contains(ticket); }
--- a/bench/experiment/src/run.cpp
+++ b/bench/experiment/src/run.cpp
@@ -529,10 +529,12 @@
     const Request &request = requests_[ticket];
     Instance &instance = instances_[index];
     const double weight = ratePerLoad * classRate(request.service, request.requestClass);
-    instance.nodes[request.service].push(
+    const auto dropped = instance.nodes[request.service].push(
         { ticket, teamName(request.requestClass), RequestRate(weight), request.deadline,
             request.isDeferrable },
         now_);
+    if (dropped)
+        requests_[*dropped].fate = "queue_full";
     dispatch(index, request.service);
     if (strategy_ == Strategy::Product)
         decide(ticket, index, instance.life);
@@ -566,7 +568,7 @@
         return;
     const RegionId region = regionName(regionOf(instance.domain));
     const BlockedRequest blocked { region, request.deadline, node.meanLatency(), request.hops,
-        bytesPerRequest, request.isDeferrable };
+        bytesPerRequest, request.isDeferrable, ticket };
     std::vector<ForwardTarget> targets;
     for (int other = 0; other < instanceCount; ++other) {
         const Instance &target = instances_[other];
--- a/policy/include/endivequay/forwarding.h
+++ b/policy/include/endivequay/forwarding.h
@@ -27,6 +27,7 @@
     int hops = 0; ///< Times it was already passed on.
     std::uint64_t bytes = 0; ///< Expected bytes of request and response.
     bool deferrable = false;
+    std::uint64_t key = 0; ///< Any number that differs between requests.
 };
 
 /// The queue of the service at this instance.
@@ -72,7 +73,8 @@
 };
 
 namespace detail {
-/// Targets that the request can reach before its deadline and that have free slots, best first.
+/// Targets that the request can reach before its deadline and that have free slots, best first: own
+/// region, then by delay, then at random by free slots.
 std::vector<std::size_t> forwardOrder(
     const BlockedRequest &request, std::span<const ForwardTarget> targets, Instant now);
 /// Whether waiting here is expected to end sooner than passing on over \a delay.
--- a/policy/src/forwarding.cpp
+++ b/policy/src/forwarding.cpp
@@ -1,6 +1,11 @@
 #include "endivequay/forwarding.h"
 
+#include "endivequay/digest.h"
+
+#include "mix.h"
+
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace endivequay::detail {
@@ -29,9 +34,13 @@
         if (target.usable && target.freeSlots >= 1 && answeredAt <= request.deadline)
             order.push_back(i);
     }
+    // All instances see the same stale figures. A weighted random order per request keeps them from
+    // passing on to the same target.
     std::ranges::stable_sort(order, {}, [&](std::size_t i) {
         const ForwardTarget &target = targets[i];
-        return std::tuple(target.region != request.region, target.delay, -target.freeSlots);
+        const double unit = toUnit(mix64(request.key ^ hash64(target.address.value())));
+        return std::tuple(
+            target.region != request.region, target.delay, -std::log1p(-unit) / target.freeSlots);
     });
     return order;
 }
--- a/policy/test/forwarding_test.cpp
+++ b/policy/test/forwarding_test.cpp
@@ -24,7 +24,7 @@
     ManualClock clock;
     FakeTokens tokens;
     LinkBudget links;
-    BlockedRequest request { here, Instant {}, 20ms, 0, 1000, false };
+    BlockedRequest request { here, Instant {}, 20ms, 0, 1000, false, 1 };
     QueueState queue { 500ms, false };
     std::vector<ForwardTarget> targets { { Address("b:1"), FailureDomainId("b"), there, 20ms, 5 },
         { Address("a:1"), FailureDomainId("a"), here, 4ms, 5, true, true } };
