Wait a quarter of a service time before passing on

Change: a request is passed on only if the expected wait here exceeds the way there and back by a quarter of a service time.

--- a/policy/src/forwarding.cpp
+++ b/policy/src/forwarding.cpp
@@ -48,7 +48,10 @@
 bool waitingIsBetter(
     const BlockedRequest &request, const QueueState &queue, Interval delay, Instant now)
 {
-    return canWait(request, queue, now) && queue.expectedWait <= 2 * delay;
+    // The target's free slots are seconds old, so a request may have to wait there too. Of 0, 1/4,
+    // 1/2 and 1 service time, 1/4 gave the best worst ratio in the experiment.
+    const Interval expectedWaitThere = request.serviceTime / 4;
+    return canWait(request, queue, now) && queue.expectedWait <= 2 * delay + expectedWaitThere;
 }
 
 ForwardDecision waitOrRefuse(
