Retry only where an upstream is healthy

Change: UpstreamView::hasHealthyUpstream(); a retry needs one that has not failed since its last good response.

--- a/bench/experiment/src/node.h
+++ b/bench/experiment/src/node.h
@@ -42,6 +42,11 @@
     int freeSlots(Instant now) const;
     int usableSlots(Instant now) const;
     int inFlight() const { return inFlight_; }
+    /// Whether the strategy allows a retry at this instance.
+    bool mayRetry(Instant now) const
+    {
+        return strategy_ != Strategy::Product || view_.hasHealthyUpstream(now);
+    }
     Interval meanLatency() const { return view_.meanLatency(); }
     /// Time until a request that joins now gets a slot, from the rate of the last responses.
     Interval expectedWait(Instant now) const;
--- a/bench/experiment/src/run.cpp
+++ b/bench/experiment/src/run.cpp
@@ -676,7 +676,7 @@
                                                     : "deadline_at_upstream";
     if (outcome == UpstreamOutcome::Good)
         answered(ticket);
-    else if (mayRetry
+    else if (mayRetry && instance.nodes[request.service].mayRetry(now_)
         && instance.retries.tryRetry(
             deployment_.services[request.service].id, teamName(request.requestClass)))
         return enqueue(ticket, index);
--- a/policy/src/loadestimate.cpp
+++ b/policy/src/loadestimate.cpp
@@ -253,6 +253,13 @@
         && now < *found->second.ejectedUntil;
 }
 
+bool UpstreamView::hasHealthyUpstream(Instant now) const
+{
+    return std::ranges::any_of(states_, [&](const auto &entry) {
+        return entry.second.failuresInRow == 0 && usable(entry.second, now) > 0;
+    });
+}
+
 Interval UpstreamView::meanLatency() const
 {
     return fromSeconds(meanLatency_);
--- a/policy/test/loadestimate_test.cpp
+++ b/policy/test/loadestimate_test.cpp
@@ -150,14 +150,15 @@
     }
 }
 
-// Guards against a failing upstream that keeps its share of requests, and against one that is
-// never tried again.
+// Guards against a failing upstream that keeps its share of requests or gets retries, and against
+// one that is never tried again.
 TEST(UpstreamView, EjectsAfterFailuresAndProbes)
 {
     view.setShare(up, { 5, 9, false, false }, clock.now());
     runOn(view, clock, up, UpstreamOutcome::Failed, 5);
     CHECK(view.isEjected(up, clock.now()));
     CHECK_FALSE(view.choose(clock.now()).has_value());
+    CHECK_FALSE(view.hasHealthyUpstream(clock.now()));
     clock.advance(1s);
     LONGS_EQUAL(1, view.usableSlots(up, clock.now()));
     runOn(view, clock, up, UpstreamOutcome::Failed, 1);
@@ -166,6 +167,7 @@
     clock.advance(1s);
     runOn(view, clock, up, UpstreamOutcome::Good, 1);
     CHECK_FALSE(view.isEjected(up, clock.now()));
+    CHECK(view.hasHealthyUpstream(clock.now()));
     LONGS_EQUAL(1, view.usableSlots(up, clock.now()));
 }
 
