--- a/policy/include/endivequay/forwarding.h
+++ b/policy/include/endivequay/forwarding.h
@@ -77,9 +77,9 @@
 /// region, then by delay, then at random by free slots.
 std::vector<std::size_t> forwardOrder(
     const BlockedRequest &request, std::span<const ForwardTarget> targets, Instant now);
-/// Whether waiting here is expected to end sooner than passing on over \a delay.
-bool waitingIsBetter(
-    const BlockedRequest &request, const QueueState &queue, Interval delay, Instant now);
+/// Whether waiting here is expected to end sooner than passing on to \a target.
+bool waitingIsBetter(const BlockedRequest &request, const QueueState &queue,
+    const ForwardTarget &target, Instant now);
 ForwardDecision waitOrRefuse(
     const BlockedRequest &request, const QueueState &queue, RefusalReason reason, Instant now);
 } // namespace detail
@@ -97,7 +97,7 @@
     RefusalReason reason = RefusalReason::NoCapacity;
     for (std::size_t index : detail::forwardOrder(request, targets, now)) {
         const ForwardTarget &target = targets[index];
-        if (detail::waitingIsBetter(request, queue, target.delay, now))
+        if (detail::waitingIsBetter(request, queue, target, now))
             return detail::waitOrRefuse(request, queue, reason, now);
         if (target.region == request.region)
             return PassOn { index };
--- a/policy/include/endivequay/loadestimate.h
+++ b/policy/include/endivequay/loadestimate.h
@@ -78,8 +78,8 @@
     int usableSlots(Instant now) const;
     int inFlight(const UpstreamId &upstream) const;
     bool isEjected(const UpstreamId &upstream, Instant now) const;
-    /// Whether a retry here makes sense: a usable upstream exists that has not failed since its last
-    /// good response.
+    /// Whether a retry here makes sense: a usable upstream exists that has not failed since its
+    /// last good response.
     bool hasHealthyUpstream(Instant now) const;
     /// Mean time of good responses over all upstreams; 0 before the first.
     Interval meanLatency() const;
--- a/policy/src/forwarding.cpp
+++ b/policy/src/forwarding.cpp
@@ -45,13 +45,15 @@
     return order;
 }
 
-bool waitingIsBetter(
-    const BlockedRequest &request, const QueueState &queue, Interval delay, Instant now)
+bool waitingIsBetter(const BlockedRequest &request, const QueueState &queue,
+    const ForwardTarget &target, Instant now)
 {
-    // The target's free slots are seconds old, so a request may have to wait there too. Of 0, 1/4,
-    // 1/2 and 1 service time, 1/4 gave the best worst ratio in the experiment.
-    const Interval expectedWaitThere = request.serviceTime / 4;
-    return canWait(request, queue, now) && queue.expectedWait <= 2 * delay + expectedWaitThere;
+    // The target's figure is seconds old, so a request may have to wait there too; the more slots
+    // were free, the less.
+    const Interval expectedWaitThere
+        = fromSeconds(toSeconds(request.serviceTime) / (1 + target.freeSlots));
+    return canWait(request, queue, now)
+        && queue.expectedWait <= 2 * target.delay + expectedWaitThere;
 }
 
 ForwardDecision waitOrRefuse(
