--- a/policy/include/endivequay/forwarding.h
+++ b/policy/include/endivequay/forwarding.h
@@ -27,6 +27,7 @@
     int hops = 0; ///< Times it was already passed on.
     std::uint64_t bytes = 0; ///< Expected bytes of request and response.
     bool deferrable = false;
+    std::uint64_t key = 0; ///< Any number that differs between requests.
 };
 
 /// The queue of the service at this instance.
@@ -43,7 +44,9 @@
     FailureDomainId domain;
     RegionId region;
     Interval delay {}; ///< One way, from this instance.
-    double freeSlots = 0; ///< Last known, less what this instance passed on since then.
+    /// Last known, less the requests that this instance has passed on to it and that have not come
+    /// back. Counting all passed on since the report would use a free slot only once per report.
+    double freeSlots = 0;
     bool usable = true; ///< Reachable, not suspect, leaving or draining.
     bool isHome = false; ///< isHome() of the target's region for the request.
 };
@@ -70,12 +73,13 @@
 };
 
 namespace detail {
-/// Targets that the request can reach before its deadline and that have free slots, best first.
+/// Targets that the request can reach before its deadline and that have free slots, best first: own
+/// region, then by delay, then at random by free slots.
 std::vector<std::size_t> forwardOrder(
     const BlockedRequest &request, std::span<const ForwardTarget> targets, Instant now);
-/// Whether waiting here is expected to end sooner than passing on over \a delay.
-bool waitingIsBetter(
-    const BlockedRequest &request, const QueueState &queue, Interval delay, Instant now);
+/// Whether waiting here is expected to end sooner than passing on to \a target.
+bool waitingIsBetter(const BlockedRequest &request, const QueueState &queue,
+    const ForwardTarget &target, Instant now);
 ForwardDecision waitOrRefuse(
     const BlockedRequest &request, const QueueState &queue, RefusalReason reason, Instant now);
 } // namespace detail
@@ -93,7 +97,7 @@
     RefusalReason reason = RefusalReason::NoCapacity;
     for (std::size_t index : detail::forwardOrder(request, targets, now)) {
         const ForwardTarget &target = targets[index];
-        if (detail::waitingIsBetter(request, queue, target.delay, now))
+        if (detail::waitingIsBetter(request, queue, target, now))
             return detail::waitOrRefuse(request, queue, reason, now);
         if (target.region == request.region)
             return PassOn { index };
--- a/policy/include/endivequay/loadestimate.h
+++ b/policy/include/endivequay/loadestimate.h
@@ -41,9 +41,9 @@
 
 /// Estimate of the usable slots of the upstreams of one service in the own failure domain.
 ///
-/// Own slots bound the estimate. A load report can only lower it, and loses its weight when own
-/// responses contradict it: a report of a full upstream that answers in its usual time is wrong.
-/// A missing report changes nothing. Not thread safe.
+/// Own slots bound the estimate. A load report can only lower it, and loses its weight with every
+/// good response at the limit that it sets; shed load restores the weight. A missing report
+/// changes nothing. Not thread safe.
 class UpstreamView
 {
 public:
@@ -77,6 +77,9 @@
     int usableSlots(Instant now) const;
     int inFlight(const UpstreamId &upstream) const;
     bool isEjected(const UpstreamId &upstream, Instant now) const;
+    /// Whether a retry here makes sense: a usable upstream exists that has not failed since its
+    /// last good response.
+    bool hasHealthyUpstream(Instant now) const;
     /// Mean time of good responses over all upstreams; 0 before the first.
     Interval meanLatency() const;
 
--- a/policy/src/forwarding.cpp
+++ b/policy/src/forwarding.cpp
@@ -1,6 +1,11 @@
 #include "endivequay/forwarding.h"
 
+#include "endivequay/digest.h"
+
+#include "mix.h"
+
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace endivequay::detail {
@@ -29,17 +34,26 @@
         if (target.usable && target.freeSlots >= 1 && answeredAt <= request.deadline)
             order.push_back(i);
     }
+    // All instances see the same stale figures. A weighted random order per request keeps them from
+    // passing on to the same target.
     std::ranges::stable_sort(order, {}, [&](std::size_t i) {
         const ForwardTarget &target = targets[i];
-        return std::tuple(target.region != request.region, target.delay, -target.freeSlots);
+        const double unit = toUnit(mix64(request.key ^ hash64(target.address.value())));
+        return std::tuple(
+            target.region != request.region, target.delay, -std::log1p(-unit) / target.freeSlots);
     });
     return order;
 }
 
-bool waitingIsBetter(
-    const BlockedRequest &request, const QueueState &queue, Interval delay, Instant now)
+bool waitingIsBetter(const BlockedRequest &request, const QueueState &queue,
+    const ForwardTarget &target, Instant now)
 {
-    return canWait(request, queue, now) && queue.expectedWait <= 2 * delay;
+    // The target's figure is seconds old, so a request may have to wait there too; the more slots
+    // were free, the less.
+    const Interval expectedWaitThere
+        = fromSeconds(toSeconds(request.serviceTime) / (1 + target.freeSlots));
+    return canWait(request, queue, now)
+        && queue.expectedWait <= 2 * target.delay + expectedWaitThere;
 }
 
 ForwardDecision waitOrRefuse(
