cli: add the command-line tool

Cause: operators had no way to check, apply and observe a configuration. Change: the endivequay program (check, diff, apply, status, key, drain, shift, timeline, version, completion, help) on the store and HTTP clients, with its logic in a library that the tests run against the memory store; docs/cli.md.

--- /dev/null
+++ b/cli/src/settings.h
@@ -0,0 +1,96 @@
+#ifndef ENDIVEQUAY_CLI_SETTINGS_H
+#define ENDIVEQUAY_CLI_SETTINGS_H
+
+#include "endivequay/clock.h"
+#include "endivequay/result.h"
+#include "endivequay/types.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endivequay::cli {
+
+enum class CommandId {
+    Check,
+    Diff,
+    Apply,
+    Status,
+    KeyNew,
+    KeyWithdraw,
+    Drain,
+    Shift,
+    Timeline,
+    Version,
+    Completion,
+    Help,
+};
+
+/// What the tool knows about a command before it is run.
+struct CommandInfo
+{
+    CommandId id {};
+    std::string_view name; ///< For example "key new".
+    std::string_view argument; ///< Name of its positional argument; empty if it has none.
+    std::string_view summary;
+    std::string_view details;
+    std::vector<std::string_view> options; ///< Names in the option table, without "--".
+};
+
+/// Every command in the order of the help text.
+const std::vector<CommandInfo> &allCommands();
+
+/// Values of all options; a command uses those that it lists.
+struct Settings
+{
+    std::vector<Address> store;
+    std::vector<Address> instances;
+    bool json = false;
+    bool exitCode = false;
+    bool undo = false;
+    bool chrome = false;
+    std::string by;
+    Interval wait = std::chrono::seconds(30);
+    std::string argument;
+    std::string team;
+    std::string keyId;
+    std::string service;
+    std::string from;
+    std::string to;
+    std::optional<double> fraction;
+    std::string request;
+    std::string upstream;
+    std::string change;
+    std::optional<Address> instance;
+};
+
+/// A command with its settings.
+struct Invocation
+{
+    const CommandInfo *command = nullptr;
+    Settings settings;
+};
+
+using Environment = std::function<std::optional<std::string>(const std::string &name)>;
+
+/// Reads the arguments without the program's name. "--help" becomes the command "help".
+Result<Invocation> parseArguments(
+    const std::vector<std::string> &arguments, const Environment &environment);
+
+/// The overview of all commands.
+std::string overviewText();
+
+/// The help of one command with its options.
+std::string helpText(const CommandInfo &command);
+
+/// Finds a command by its name; nullptr if there is none.
+const CommandInfo *findCommand(std::string_view name);
+
+/// A completion script for bash.
+std::string bashCompletion();
+
+} // namespace endivequay::cli
+
+#endif
