config: compare the ranges of the schema with the reader

Cause: only the names of the fields were compared, and an example ignored a key of an unknown team. Conclusion: editors and the reader accept the same values.

--- a/config/examples/demo.h
+++ b/config/examples/demo.h
@@ -56,8 +56,11 @@
         settings.upstreamsPerService = upstreams;
     for (const std::string &key : keys) {
         const auto equals = key.find('=');
-        settings.keys[key.substr(0, equals)]
-            = equals == std::string::npos ? "" : key.substr(equals + 1);
+        if (equals == std::string::npos || equals + 1 == key.size()) {
+            std::cerr << "--key: \"" << key << "\" is not TEAM=KEY\n";
+            std::exit(2);
+        }
+        settings.keys[key.substr(0, equals)] = key.substr(equals + 1);
     }
     return settings;
 }
@@ -108,6 +111,16 @@
             team.key("demo", endivequay::sha256Hex(own->second));
         else if (!settings_.keyPrefix.empty())
             team.key("demo", endivequay::sha256Hex(settings_.keyPrefix + "-" + id));
+        settings_.keys.erase(id);
+    }
+
+    /// Prints the configuration. Returns the exit status; a key of an unknown team is a fault.
+    int print() const
+    {
+        for (const auto &[team, key] : settings_.keys)
+            std::cerr << "--key: there is no team \"" << team << "\"\n";
+        return settings_.keys.empty() ? endivequay::operators::print(fleet_, std::cout, std::cerr)
+                                      : 2;
     }
 
 private:
--- a/config/examples/kapadwala.cpp
+++ b/config/examples/kapadwala.cpp
@@ -43,5 +43,5 @@
     deployment.team("nairobi-stalls", 40, 80);
     deployment.team("pune-repairs", 20, 40);
     deployment.team("catalogue-nightly", 10, 40);
-    return print(fleet, std::cout, std::cerr);
+    return deployment.print();
 }
--- a/config/examples/yildirim.cpp
+++ b/config/examples/yildirim.cpp
@@ -42,5 +42,5 @@
     deployment.team("rize-tea-houses", 40, 80);
     deployment.team("dietitians", 20, 40);
     deployment.team("suppliers", 20, 60);
-    return print(fleet, std::cout, std::cerr);
+    return deployment.print();
 }
--- a/config/src/checker.cpp
+++ b/config/src/checker.cpp
@@ -18,13 +18,13 @@
 
 using namespace std::chrono_literals;
 
-// Rates above this lose whole requests in the arithmetic of token buckets.
+// Keeps rate times window below 2^53, up to which whole requests are counted exactly.
 constexpr double maximumRate = 1e9;
 
 // Longer one-way delays leave no time for an answer within the maximum request time.
 constexpr Interval maximumDelay = 5s;
 
-// Shorter lifetimes make callers ask more often than an instance can answer.
+// Bounds look-ups to ten per caller and second.
 constexpr Interval minimumLookupLifetime = 100ms;
 
 // Planned shifts count on cached answers to end within 2 s (section 3.5 of the design page).
--- a/config/test/configuration_test.cpp
+++ b/config/test/configuration_test.cpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <fstream>
+#include <map>
 #include <set>
 #include <sstream>
 
@@ -287,6 +288,46 @@
         CHECK_TEXT(!definition.contains("properties") || objects.contains(name), name.c_str());
 }
 
+// Guards against a schema whose ranges or words differ from those that the reader accepts.
+TEST(Configuration, SchemaHasTheRangesThatTheReaderAccepts)
+{
+    std::ifstream file(ENDIVEQUAY_DOCS "/configuration.schema.json");
+    const json schema = json::parse(file);
+    json base = fixtures::complete();
+    base["services"][0]["routes"][0]["kind"] = "idempotent";
+    base["upstreams"][0]["slots"] = 1;
+    base["upstreams"][0]["connections"] = 1'000'000;
+    const auto accepts = [&](const std::string &pointer, const json &value) {
+        json changed = base;
+        changed[json::json_pointer(pointer)] = value;
+        return Configuration::fromJson(changed.dump()).hasValue();
+    };
+    int checked = 0;
+    for (const auto &[name, pointer] : std::map<std::string, std::string> {
+             { "region", "/regions/0" }, { "delay", "/region_delays/0" }, { "link", "/links/0" },
+             { "service", "/services/0" }, { "shift_cap", "/services/0/shift_cap" },
+             { "route", "/services/0/routes/0" }, { "upstream", "/upstreams/0" },
+             { "planned_shift", "/services/0/planned_shift" }, { "team", "/teams/0" } }) {
+        for (const auto &[field, rule] : schema["$defs"][name]["properties"].items()) {
+            const std::string at = pointer + "/" + field;
+            const json words = rule.value("enum", json::array());
+            for (const json &word : words)
+                CHECK_TEXT(accepts(at, word), at.c_str());
+            checked += static_cast<int>(words.size());
+            if (!rule.contains("maximum"))
+                continue;
+            const double most = rule["maximum"];
+            CHECK_TEXT(accepts(at, most) && !accepts(at, most * 1.01 + 1), at.c_str());
+            const bool exclusive = rule.contains("exclusiveMinimum");
+            const double least = rule[exclusive ? "exclusiveMinimum" : "minimum"];
+            CHECK_TEXT(accepts(at, least) != exclusive && !accepts(at, least - 0.5), at.c_str());
+            ++checked;
+        }
+    }
+    // 17 words of five fields and 13 ranges.
+    LONGS_EQUAL(17 + 13, checked);
+}
+
 // Guards against an operator's program that prints what the tool would refuse, or other bytes for
 // the same input.
 TEST(Configuration, BuildersPrintWhatTheReaderAccepts)
