cli: prove the operator when draining an instance, keep the order in traces

Cause: a trial run against real instances showed that they answer POST /v1/drain without a proof with 401, and that trace times since the epoch leave a double no room for the hybrid counter. The refusal of a jump of a planned shift says how to keep the fraction in force.

--- a/cli/src/backend.cpp
+++ b/cli/src/backend.cpp
@@ -1,7 +1,6 @@
 #include "backend.h"
 
 #include "endivequay/digest.h"
-#include "endivequay/upstreamclient.h"
 
 #include <algorithm>
 #include <atomic>
@@ -22,12 +21,13 @@
 constexpr std::size_t parallelRequests = 64;
 
 Result<std::string> exchange(UpstreamClient &client, const Address &address,
-    const std::string &method, const std::string &path)
+    const std::string &method, const std::string &path, const HttpHeaders &headers)
 {
     UpstreamRequest request;
     request.address = address;
     request.method = method;
     request.path = path;
+    request.headers = headers;
     request.deadline = SteadyClock().now() + instanceLimit;
     UpstreamResponse response = client.send(request);
     if (response.outcome != UpstreamOutcome::Answered)
@@ -46,7 +46,7 @@
     std::atomic<std::size_t> next = 0;
     const auto work = [&] {
         for (std::size_t i = next++; i < addresses.size(); i = next++)
-            results[i] = exchange(client, addresses[i], "GET", path);
+            results[i] = exchange(client, addresses[i], "GET", path, {});
     };
     std::vector<std::jthread> threads;
     for (std::size_t i = 0; i < std::min(parallelRequests, addresses.size()); ++i)
@@ -66,9 +66,10 @@
     backend.fetch = [client](const std::vector<Address> &addresses, const std::string &path) {
         return fetchAll(*client, addresses, path);
     };
-    backend.post = [client](const Address &address, const std::string &path) {
-        return exchange(*client, address, "POST", path);
-    };
+    backend.post
+        = [client](const Address &address, const std::string &path, const HttpHeaders &headers) {
+              return exchange(*client, address, "POST", path, headers);
+          };
     backend.randomBytes = [](std::size_t count) { return randomBytes(count); };
     return backend;
 }
--- a/cli/src/backend.h
+++ b/cli/src/backend.h
@@ -4,6 +4,7 @@
 #include "settings.h"
 
 #include "endivequay/configstore.h"
+#include "endivequay/upstreamclient.h"
 
 #include <functional>
 #include <string>
@@ -20,7 +21,9 @@
     std::function<std::vector<Result<std::string>>(
         const std::vector<Address> &, const std::string &)>
         fetch;
-    std::function<Result<std::string>(const Address &, const std::string &)> post;
+    /// POST to a path with headers and no body.
+    std::function<Result<std::string>(const Address &, const std::string &, const HttpHeaders &)>
+        post;
     std::function<std::string(std::size_t)> randomBytes;
     std::function<Result<ConfigSnapshot>()> readDocuments;
     std::function<SubmitResult(const ConfigChange &)> submit;
--- a/cli/src/editcommands.cpp
+++ b/cli/src/editcommands.cpp
@@ -79,7 +79,11 @@
 ExitCode drainInstance(const Session &session)
 {
     const Address &address = *session.settings.instance;
-    const auto answer = session.backend.post(address, "/v1/drain");
+    if (session.settings.secret.empty())
+        return session.fail(ExitCode::Usage, missing("the environment variable ENDIVEQUAY_SECRET"));
+    const std::string proof = hmacSha256Hex(session.settings.secret, "drain " + address.value());
+    const auto answer
+        = session.backend.post(address, "/v1/drain", { { "Endivequay-Operator", proof } });
     if (!answer)
         return session.fail(ExitCode::Unreachable, answer.lastReason());
     session.result({ { "instance", address.value() }, { "state", "leaving" } },
--- a/cli/src/mergedtimeline.cpp
+++ b/cli/src/mergedtimeline.cpp
@@ -51,18 +51,19 @@
     return found != event.fields.end() && found->second == wanted;
 }
 
-/// A counter within one microsecond becomes nanoseconds, so that ties keep their order.
-double traceMicros(HybridTime time)
+/// Microseconds since the first event: since the epoch they would leave a double no room for the
+/// counter. A counter within one microsecond becomes nanoseconds, so that ties keep their order.
+double traceMicros(HybridTime time, std::int64_t start)
 {
     constexpr double microsPerCount = 0.001;
-    return static_cast<double>(time.wallMicros) + microsPerCount * time.counter;
+    return static_cast<double>(time.wallMicros - start) + microsPerCount * time.counter;
 }
 
-json traceEvent(const NamedEvent &named, int process)
+json traceEvent(const NamedEvent &named, int process, std::int64_t start)
 {
     const Event &event = named.event;
     json trace { { "name", named.name }, { "pid", process }, { "tid", 0 },
-        { "ts", traceMicros(event.time) }, { "args", event.fields }, { "cat", "event" },
+        { "ts", traceMicros(event.time, start) }, { "args", event.fields }, { "cat", "event" },
         { "ph", "i" }, { "s", "p" } };
     const bool begins = event.id == EventId::RequestAdmitted;
     const bool ends = event.id == EventId::RequestAnswered;
@@ -127,6 +128,7 @@
 json toChromeTrace(const std::vector<NamedEvent> &events)
 {
     std::map<std::string, int> processes;
+    const std::int64_t start = events.empty() ? 0 : events.front().event.time.wallMicros;
     json list = json::array();
     for (const NamedEvent &named : events) {
         const auto [entry, isNew]
@@ -134,9 +136,10 @@
         if (isNew)
             list.push_back({ { "name", "process_name" }, { "ph", "M" }, { "pid", entry->second },
                 { "args", { { "name", named.event.process } } } });
-        list.push_back(traceEvent(named, entry->second));
+        list.push_back(traceEvent(named, entry->second, start));
     }
-    return { { "traceEvents", list }, { "displayTimeUnit", "ms" } };
+    return { { "traceEvents", list }, { "displayTimeUnit", "ms" },
+        { "otherData", { { "start_wall_us", start } } } };
 }
 
 } // namespace endivequay::cli
--- a/cli/src/settings.cpp
+++ b/cli/src/settings.cpp
@@ -31,7 +31,8 @@
     { "wait", true, "longest wait in seconds until the change is in force (default: 30)" },
     { "exit-code", false, "exit with status 6 if there is a difference" },
     { "undo", false, "take the upstream back into service" },
-    { "instance", true, "drain this instance ip:port instead of an upstream" },
+    { "instance", true,
+        "drain this instance ip:port instead of an upstream; needs ENDIVEQUAY_SECRET" },
     { "team", true, "id of the team" },
     { "id", true, "id of the key" },
     { "service", true, "id of the service" },
@@ -132,6 +133,7 @@
         const auto instance = addresses("instance", {});
         if (!instance.empty())
             settings.instance = instance.front();
+        settings.secret = environment_("ENDIVEQUAY_SECRET").value_or("");
         settings.argument = text("argument").value_or("");
         settings.team = text("team").value_or("");
         settings.keyId = text("id").value_or("");
--- a/cli/src/settings.h
+++ b/cli/src/settings.h
@@ -64,6 +64,7 @@
     std::string upstream;
     std::string change;
     std::optional<Address> instance;
+    std::string secret; ///< Shared with the instances; proves an operator to them.
 };
 
 /// A command with its settings.
--- a/cli/test/commands_test.cpp
+++ b/cli/test/commands_test.cpp
@@ -221,8 +221,11 @@
     fleet.instances["127.0.0.1:2"].inFlight = 1'000;
     LONGS_EQUAL(5, fleet.run("drain u1 --wait 10"));
     LONGS_EQUAL(1, fleet.run("drain u2"));
+    LONGS_EQUAL(2, fleet.run("drain --instance 127.0.0.1:2"));
+    fleet.environment["ENDIVEQUAY_SECRET"] = "s3cret";
     LONGS_EQUAL(0, fleet.run("drain --instance 127.0.0.1:2"));
-    STRCMP_EQUAL("127.0.0.1:2/v1/drain", fleet.posts.back().c_str());
+    STRCMP_EQUAL(("127.0.0.1:2/v1/drain " + hmacSha256Hex("s3cret", "drain 127.0.0.1:2")).c_str(),
+        fleet.posts.back().c_str());
 }
 
 // Guards against a shift, also an interrupted and repeated one, that moves more than half of the
--- a/cli/test/fakefleet.h
+++ b/cli/test/fakefleet.h
@@ -77,10 +77,11 @@
             }
             return answers;
         };
-        result.post = [this](const Address &address, const std::string &path) {
-            posts.push_back(address.value() + path);
-            return Result<std::string>("{}");
-        };
+        result.post
+            = [this](const Address &address, const std::string &path, const HttpHeaders &headers) {
+                  posts.push_back(address.value() + path + " " + headers.at(0).second);
+                  return Result<std::string>("{}");
+              };
         result.randomBytes = [this](std::size_t count) {
             std::string bytes(count, '\0');
             std::ranges::generate(bytes, [this] { return static_cast<char>(nextByte++); });
--- a/cli/test/timeline_test.cpp
+++ b/cli/test/timeline_test.cpp
@@ -14,9 +14,12 @@
     return json { { "process", process }, { "events", events } }.dump();
 }
 
+// A wall time of these days: later digits of such a number do not fit into a double.
+constexpr std::int64_t today = 1'796'361'320'324'601;
+
 json eventOf(std::int64_t wall, int counter, EventId id, const json &fields)
 {
-    return { { "wall_us", wall }, { "counter", counter }, { "id", static_cast<int>(id) },
+    return { { "wall_us", today + wall }, { "counter", counter }, { "id", static_cast<int>(id) },
         { "name", eventName(id) }, { "fields", fields } };
 }
 
--- a/config/src/changes.cpp
+++ b/config/src/changes.cpp
@@ -147,7 +147,7 @@
     if (std::abs(after - before) > step + fractionTolerance)
         errors.push_back({ "config.check", path + ".fraction",
             fmt::format("moves from {} to {}, but one change may move it by {} (cap / 8); use "
-                        "\"endivequay shift\"",
+                        "\"endivequay shift\" or keep the fraction that is in force",
                 before, after, step) });
 }
 
