--- a/coordination/include/endivequay/configlog.h
+++ b/coordination/include/endivequay/configlog.h
@@ -160,6 +160,9 @@
     Interval errorPause = std::chrono::seconds(3); ///< A failed source is not chosen for so long.
     /// A source confirmed within this time is kept; half of the 4 s limit of keyed routes.
     Interval goodEnough = std::chrono::seconds(2);
+    /// A kept source is given up for an equally near one with a better rank at most this often, so
+    /// that the pulling nodes spread over the readers.
+    Interval reconsider = std::chrono::seconds(30);
     /// Candidates must be fresher than the node itself by this much, unless they are ahead.
     Interval fresherBy = std::chrono::milliseconds(100);
     /// Paths longer than this are not followed; a cycle grows its path on each pull.
@@ -210,6 +213,7 @@
     std::optional<Incarnation> current_;
     std::vector<Incarnation> sourcePath_;
     std::optional<Instant> oldestUnanswered_;
+    Instant chosenAt_;
     std::map<Incarnation, Instant> avoidUntil_;
 };
 
--- a/coordination/include/endivequay/membership.h
+++ b/coordination/include/endivequay/membership.h
@@ -68,13 +68,17 @@
 struct MembershipSettings
 {
     Interval suspicion = std::chrono::seconds(3);
-    /// Members without an own link are refreshed by rotating digests, about once a minute.
-    Interval remoteSuspicion = std::chrono::seconds(180);
+    /// For members without an own link. Their suspicion is told by digests at once; this is the
+    /// fallback, longer than several rotations of the digests at 1,700 members.
+    Interval remoteSuspicion = std::chrono::seconds(600);
+    /// An address to which no link could be opened is not chosen again for so long, if there is
+    /// another one.
+    Interval linkRetry = std::chrono::seconds(15);
     /// Ended and unlisted members are forgotten after this time.
     /// Long, because the ledger may name them until the store is writable again.
     Interval retention = std::chrono::hours(24);
     std::size_t digestEntries = 64; ///< Most entries of one digest.
-    std::size_t rotatingEntries = 32; ///< Unchanged entries that fill up a digest.
+    std::size_t rotatingEntries = 16; ///< Unchanged entries that fill up a digest.
     std::size_t maxMembers = 10'000;
 };
 
@@ -141,6 +145,8 @@
     /// A link to \a address is open; it was opened at \a now.
     void linkOpened(const Address &address, Instant now);
     void linkClosed(const Address &address);
+    /// No link to \a address could be opened, or the link was silent.
+    void linkFailed(const Address &address, Instant now);
     /// An unused link was closed on purpose: the member is not expected to be heard any more.
     void linkReleased(const Address &address);
     /// Links without a heartbeat for 3 s, which are to be replaced. Each is proposed again after a
@@ -201,6 +207,7 @@
     /// Addresses that the list has shown and shows no more.
     std::map<Address, Instant> unlistedAt_;
     std::map<Address, Link> links_;
+    std::map<Address, Instant> avoidUntil_;
     /// Members by the number of their last change, for digests.
     std::map<std::uint64_t, Address> changed_;
     std::uint64_t changes_ = 0;
--- a/coordination/include/endivequay/messages.h
+++ b/coordination/include/endivequay/messages.h
@@ -67,10 +67,10 @@
     bool operator==(const Heartbeat &) const = default;
 };
 
-/// Answer to a heartbeat on the same link.
+/// Answer to a heartbeat on the same link. Like the following messages between two peers it does
+/// not name its sender, which the Hello of the link has told.
 struct HeartbeatEcho
 {
-    Incarnation incarnation; ///< Of the answering member.
     std::uint64_t sequence = 0; ///< Of the heartbeat that is answered.
     std::vector<SilenceReport> silences;
 
@@ -81,7 +81,6 @@
 struct ConfigPull
 {
     std::uint64_t number = 0; ///< Repeated in the reply, which finds the send time by it.
-    Incarnation incarnation;
     Revision revision;
     std::optional<SnapshotCursor> cursor;
 
@@ -93,7 +92,6 @@
 {
     HybridTime time;
     std::uint64_t number = 0;
-    Incarnation incarnation;
     Revision revision; ///< That the source has applied; its confirmation is for this revision.
     std::optional<Interval> confirmedAge;
     std::vector<Incarnation> syncPath;
--- a/coordination/src/codec.cpp
+++ b/coordination/src/codec.cpp
@@ -122,7 +122,6 @@
 template <class A>
 void describe(A &a, Of<A, HeartbeatEcho> &m)
 {
-    a({ "i", "incarnation" }, m.incarnation);
     a({ "n", "sequence" }, m.sequence);
     a({ "q", "silences" }, m.silences);
 }
@@ -131,7 +130,6 @@
 void describe(A &a, Of<A, ConfigPull> &m)
 {
     a({ "n", "number" }, m.number);
-    a({ "i", "incarnation" }, m.incarnation);
     a({ "r", "revision" }, m.revision);
     a({ "u", "cursor" }, m.cursor);
 }
@@ -141,7 +139,6 @@
 {
     a({ "t", "time" }, m.time);
     a({ "n", "number" }, m.number);
-    a({ "i", "incarnation" }, m.incarnation);
     a({ "r", "revision" }, m.revision);
     a({ "c", "confirmedAge" }, m.confirmedAge);
     a({ "p", "syncPath" }, m.syncPath);
@@ -195,6 +192,10 @@
         if constexpr (IsOptional<T>::value) {
             if (value)
                 json_[key.key] = write(*value);
+        } else if constexpr (IsVector<T>::value) {
+            // Most lists are empty; a missing one stands for that.
+            if (!value.empty())
+                json_[key.key] = write(value);
         } else {
             json_[key.key] = write(value);
         }
@@ -264,7 +265,7 @@
             return;
         const auto found = json_.find(key.key);
         if (found == json_.end()) {
-            if constexpr (!IsOptional<T>::value)
+            if constexpr (!IsOptional<T>::value && !IsVector<T>::value)
                 Reader(json_, path_ + '.' + key.name, fault_, fieldsRead_).fail("is missing");
             return;
         }
--- a/coordination/src/configlog.cpp
+++ b/coordination/src/configlog.cpp
@@ -232,8 +232,13 @@
         if (eligible(self, candidate) && (best == nullptr || rank(candidate) < rank(*best)))
             best = &candidate;
     }
-    const bool nearer = kept && best && confirmed(*best) && best->proximity < kept->proximity;
-    if (kept && !nearer)
+    if (kept && best && confirmed(*best)) {
+        const bool nearer = best->proximity < kept->proximity;
+        const bool better = rank(*best) < rank(*kept) && now - chosenAt_ >= settings_.reconsider;
+        if (nearer || better)
+            kept = nullptr;
+    }
+    if (kept)
         return current_;
     // Without a better peer the source is kept: it may be the first to learn more.
     if (best == nullptr && keepable)
@@ -243,6 +248,7 @@
     if (best != nullptr && current_ != best->incarnation) {
         current_ = best->incarnation;
         sourcePath_ = best->path;
+        chosenAt_ = now;
     }
     return current_;
 }
--- a/coordination/src/membership.cpp
+++ b/coordination/src/membership.cpp
@@ -160,6 +160,7 @@
     }
     std::erase_if(past_,
         [&](const auto &entry) { return now - entry.second.replacedAt > settings_.retention; });
+    std::erase_if(avoidUntil_, [&](const auto &entry) { return entry.second <= now; });
     std::erase_if(unlistedAt_,
         [&](const auto &entry) { return now - entry.second > 2 * settings_.retention; });
 }
@@ -510,14 +511,17 @@
 std::optional<Address> Membership::representative(const std::vector<FailureDomainId> &domains) const
 {
     // The hash differs between the asking nodes, so that their links spread over the members.
-    using Rank = std::tuple<bool, std::uint64_t, Address>;
+    using Rank = std::tuple<bool, bool, std::uint64_t, Address>;
     std::optional<Rank> best;
     for (const auto &domain : domains) {
         for (const Member *member : membersOf(domain)) {
-            if (member->suspect || (!member->listed && !member->usable()))
+            if (!member->listed && !member->heardAt)
                 continue;
+            // Suspect members come last, but come: a region that was cut off must be found again.
             const Address &address = member->identity.address;
-            const Rank rank { member->state != MemberState::Serving || member->listedLeaving,
+            const bool unfit
+                = member->suspect || member->listedLeaving || member->state != MemberState::Serving;
+            const Rank rank { avoidUntil_.contains(address), unfit,
                 hash64(address.value(), self_.incarnation.value()), address };
             if (!best || rank < *best)
                 best = rank;
@@ -529,6 +533,7 @@
 void Membership::linkOpened(const Address &address, Instant now)
 {
     links_[address] = { now, now, 0 };
+    avoidUntil_.erase(address);
 }
 
 void Membership::linkClosed(const Address &address)
@@ -536,6 +541,12 @@
     links_.erase(address);
 }
 
+void Membership::linkFailed(const Address &address, Instant now)
+{
+    links_.erase(address);
+    avoidUntil_[address] = now + settings_.linkRetry;
+}
+
 void Membership::linkReleased(const Address &address)
 {
     links_.erase(address);
--- a/coordination/test/codec_test.cpp
+++ b/coordination/test/codec_test.cpp
@@ -26,11 +26,10 @@
     return { Hello { { 1, 2 }, member },
         Heartbeat { { 5, 0 }, Incarnation(7), 4, MemberState::Leaving, Revision(12), 250ms,
             { 1, 2, 3 }, { Incarnation(9) } },
-        Heartbeat {}, HeartbeatEcho { Incarnation(7), 4, silences },
-        ConfigPull { 3, Incarnation(7), Revision(12), SnapshotCursor { Revision(9), "teams/a" } },
-        ConfigReply {
-            {}, 3, Incarnation(7), Revision(12), 1ms, {}, silences, ConfigDelta { { change } } },
-        ConfigReply { {}, 3, Incarnation(7), Revision(12), {}, {}, {},
+        Heartbeat {}, HeartbeatEcho { 4, silences },
+        ConfigPull { 3, Revision(12), SnapshotCursor { Revision(9), "teams/a" } },
+        ConfigReply { {}, 3, Revision(12), 1ms, {}, silences, ConfigDelta { { change } } },
+        ConfigReply { {}, 3, Revision(12), {}, {}, {},
             SnapshotPart { Revision(12), ChangeId("c1"), "a", { { "b", text("x") } }, false } },
         MemberDigest { Incarnation(7), { { member, 4, MemberState::Suspect, 3s } } } };
 }
--- a/coordination/test/opsim.h
+++ b/coordination/test/opsim.h
@@ -89,7 +89,7 @@
         }
     }
 
-    void send(Copy copy, int node, Interval delay)
+    void send(const Copy &copy, int node, Interval delay)
     {
         if (percent(10))
             return;
--- a/coordination/test/spreadsim.h
+++ b/coordination/test/spreadsim.h
@@ -60,10 +60,13 @@
         , domains_(settings.regions * settings.domainsPerRegion)
         , random_(settings.seed)
         , storeLog_({ 100'000, 1u << 30, 1u << 30 })
-        , cuts_(static_cast<std::size_t>((domains_ + 1) * (domains_ + 1)))
+        , cuts_(index(domains_ + 1) * index(domains_ + 1))
         , reachableSince_(static_cast<std::size_t>(domains_), schedule_.now())
         , nodes_(static_cast<std::size_t>(domains_ * settings.nodesPerDomain))
-    { }
+    {
+        for (int slot = 0; slot < slots(); ++slot)
+            slotOf_.emplace(addressOf(slot), slot);
+    }
 
     SpreadResult run()
     {
@@ -143,17 +146,10 @@
         return Address(
             "10.0." + std::to_string(slot / 200) + '.' + std::to_string(slot % 200 + 1) + ":7400");
     }
-    int slotOf(const Address &address) const
-    {
-        for (int slot = 0; slot < slots(); ++slot) {
-            if (addressOf(slot) == address)
-                return slot;
-        }
-        return -1;
-    }
+    int slotOf(const Address &address) const { return slotOf_.at(address); }
     int &cuts(int a, int b)
     {
-        return cuts_[static_cast<std::size_t>(std::min(a, b) * (domains_ + 1) + std::max(a, b))];
+        return cuts_[index(std::min(a, b)) * index(domains_ + 1) + index(std::max(a, b))];
     }
     Interval delay(int a, int b)
     {
@@ -287,14 +283,18 @@
     void maintainLinks(const NodePtr &node, Instant now)
     {
         for (const auto &address : node->membership->silentLinks(now)) {
-            node->membership->linkClosed(address);
+            node->membership->linkFailed(address, now);
             node->links.erase(slotOf(address));
         }
         for (const auto &address : node->membership->peersToConnect()) {
             const int slot = slotOf(address);
             const auto &peer = nodes_[index(slot)];
-            if (node->links.contains(slot) || !peer || cuts(node->domain, peer->domain) > 0)
+            if (node->links.contains(slot))
                 continue;
+            if (!peer || cuts(node->domain, peer->domain) > 0) {
+                node->membership->linkFailed(address, now);
+                continue;
+            }
             send(node->domain, peer, [=, this, peer = peer] {
                 if (!running(node) || node->links.contains(slot))
                     return;
@@ -356,14 +356,14 @@
             [=, this, number = node->pullNumber, revision = node->log.revision(),
                 cursor = node->log.cursor()] {
                 const Instant asked = peer->local(schedule_.now());
-                const ConfigReply reply { {}, number, peer->identity.incarnation,
-                    peer->log.revision(), peer->freshness.age(asked), peer->source.path(),
+                const ConfigReply reply { {}, number, peer->log.revision(),
+                    peer->freshness.age(asked), peer->source.path(),
                     peer->freshness.silences(asked), peer->log.changesSince(revision, cursor) };
-                send(peer->domain, node, [=, this] { applyReply(node, reply); });
+                send(peer->domain, node, [=, this] { applyReply(node, *source, reply); });
             });
     }
 
-    void applyReply(const NodePtr &node, const ConfigReply &reply)
+    void applyReply(const NodePtr &node, const Incarnation &source, const ConfigReply &reply)
     {
         const auto sent = node->pullSent.find(reply.number);
         if (sent == node->pullSent.end())
@@ -376,7 +376,7 @@
             node->freshness.peerAnswered(sent->second, *reply.confirmedAge, reply.revision);
         for (const auto &report : reply.silences)
             node->freshness.silenceReported(report, sent->second, now);
-        node->source.replied(node->identity.incarnation, reply.incarnation, reply.syncPath, now);
+        node->source.replied(node->identity.incarnation, source, reply.syncPath, now);
         if (result == ApplyResult::Partial && node->source.current())
             pull(node, now);
     }
@@ -629,6 +629,7 @@
     std::vector<int> cuts_;
     std::vector<Instant> reachableSince_;
     std::vector<NodePtr> nodes_;
+    std::map<Address, int> slotOf_;
     std::vector<ListedInstance> list_;
     std::map<Revision, Instant> acceptedAt_;
     std::map<Revision, std::uint64_t> digests_;
