Close gaps that broken mechanisms showed in the coordination tests

Cause: each mechanism was broken on purpose once; two breaks passed all tests, and one passed the exploration because its memory bound never had room again.

--- a/coordination/test/configlog_test.cpp
+++ b/coordination/test/configlog_test.cpp
@@ -83,6 +83,23 @@
     });
 }
 
+// Guards against a snapshot that lacks documents after duplicated and reordered parts.
+TEST(ConfigLog, PartsAreAppliedOnlyInOrder)
+{
+    const auto part = [](int revision, const char *after, const char *name, bool last) {
+        return SnapshotPart { Revision(revision), ChangeId("s"), after,
+            { { name, std::make_shared<const std::string>("x") } }, last };
+    };
+    ConfigLog log;
+    CHECK(log.applyUpdate(part(5, "", "a", false)) == ApplyResult::Partial);
+    CHECK(log.applyUpdate(part(5, "", "a", false)) == ApplyResult::AlreadyKnown);
+    CHECK(log.applyUpdate(part(5, "b", "c", true)) == ApplyResult::AlreadyKnown);
+    CHECK(log.applyUpdate(part(6, "", "a", false)) == ApplyResult::Partial);
+    CHECK(log.applyUpdate(part(5, "a", "b", false)) == ApplyResult::Gap);
+    CHECK(log.applyUpdate(part(6, "a", "b", true)) == ApplyResult::Applied);
+    LONGS_EQUAL(2, log.documents().size());
+}
+
 // Guards against a source that is far, silent, in a cycle, or changed without a reason.
 TEST(ConfigLog, SourceIsNearestThatIsAheadAndIsKept)
 {
--- a/coordination/test/membership_test.cpp
+++ b/coordination/test/membership_test.cpp
@@ -77,6 +77,8 @@
     CHECK(membership.greeted(successor, start + 1s));
     CHECK_FALSE(membership.greeted(old, start + 2s));
     CHECK_FALSE(membership.heard(heartbeat(old, 9), start + 2s));
+    // Also one that this node has never heard.
+    CHECK_FALSE(membership.greeted(identity(2, "a-1", 50), start + 2s));
     CHECK(membership.at(old.address)->identity == successor);
     const auto evidence = membership.evidence(old.incarnation, old.address);
     CHECK(evidence.replacedAt == start + 1s);
--- a/coordination/test/operations_test.cpp
+++ b/coordination/test/operations_test.cpp
@@ -63,7 +63,7 @@
         OperationSettings settings;
         settings.lifetime = expiry * 1s;
         settings.maxAnswerBytes = 1'000;
-        settings.maxKeptBytes = 1'000;
+        settings.maxKeptBytes = 1'900; // One running operation and the kept answer of another.
         return settings;
     }
     ModelState()
