Rename types of state that clash with another package

Cause: packages share one namespace; equal names with different layouts break the one-definition rule. Change: names only. Conclusion: all packages can be linked into one binary.

--- a/bench/spread/src/control.cpp
+++ b/bench/spread/src/control.cpp
@@ -104,7 +104,7 @@
         }
         connectSample();
         connectOutsiders();
-        const ConfigChange first { Revision(1), Revision(0), ChangeId("first"), {}, {} };
+        const LoggedChange first { Revision(1), Revision(0), ChangeId("first"), {}, {} };
         for (auto &[address, node] : nodes_) {
             node->log.applyChange(first);
             node->freshness.applied(Revision(1));
@@ -365,7 +365,7 @@
                 R"({{"prefix":"{}.{}.{}.0/24","site":"s{}"}},)", octet, i / 250, i % 250, i % 270);
         return std::make_shared<const std::string>(std::move(text));
     };
-    Documents documents;
+    SharedDocuments documents;
     for (int octet = 0; octet < 256; ++octet)
         documents.emplace(fmt::format("blocks/{}", octet), document(octet));
     log.applySnapshot(Revision(1), ChangeId("load"), std::move(documents));
--- a/coordination/include/endivequay/configlog.h
+++ b/coordination/include/endivequay/configlog.h
@@ -20,11 +20,11 @@
 /// Text of a document, shared between the current state, the ring and snapshots.
 using DocumentText = std::shared_ptr<const std::string>;
 
-/// Documents by name, for example "teams/a".
-using Documents = std::map<std::string, DocumentText>;
+/// SharedDocuments by name, for example "teams/a".
+using SharedDocuments = std::map<std::string, DocumentText>;
 
 /// One accepted change of the configuration.
-struct ConfigChange
+struct LoggedChange
 {
     Revision revision;
     Revision previous; ///< Revision that the change was based on.
@@ -56,10 +56,10 @@
 /// Consecutive changes; empty if the asking side is up to date.
 struct ConfigDelta
 {
-    std::vector<ConfigChange> changes;
+    std::vector<LoggedChange> changes;
 };
 
-/// Documents of a snapshot in ascending order of names.
+/// SharedDocuments of a snapshot in ascending order of names.
 struct SnapshotPart
 {
     Revision revision;
@@ -87,9 +87,9 @@
 public:
     explicit ConfigLog(ConfigLogSettings settings = {});
 
-    ApplyResult applyChange(ConfigChange change);
+    ApplyResult applyChange(LoggedChange change);
     /// Replaces all documents. A snapshot is never a Gap.
-    ApplyResult applySnapshot(Revision revision, ChangeId change, Documents documents);
+    ApplyResult applySnapshot(Revision revision, ChangeId change, SharedDocuments documents);
     /// Applies an update of a peer. Parts of a snapshot take effect together with the last one.
     ///
     /// A part of a lower snapshot, or one that does not continue the part before, is not used.
@@ -103,7 +103,7 @@
 
     Revision revision() const { return revision_; }
     const ChangeId &change() const { return change_; }
-    const Documents &documents() const { return *documents_; }
+    const SharedDocuments &documents() const { return *documents_; }
     std::size_t ringSize() const { return ring_.size(); }
     /// Estimated bytes of documents, ring and snapshots in transfer.
     std::size_t memoryBytes() const;
@@ -113,12 +113,12 @@
     {
         Revision revision;
         ChangeId change;
-        std::shared_ptr<const Documents> documents;
+        std::shared_ptr<const SharedDocuments> documents;
     };
     struct Transfer
     {
         Revision revision;
-        Documents documents;
+        SharedDocuments documents;
 
         std::string after() const { return documents.empty() ? "" : documents.rbegin()->first; }
     };
@@ -127,13 +127,13 @@
     SnapshotPart snapshotPart(const std::optional<SnapshotCursor> &cursor);
     bool ringReaches(Revision revision) const;
     ApplyResult applyPart(SnapshotPart part);
-    void addToRing(ConfigChange change);
+    void addToRing(LoggedChange change);
 
     ConfigLogSettings settings_;
     Revision revision_;
     ChangeId change_;
-    std::shared_ptr<Documents> documents_ = std::make_shared<Documents>();
-    std::deque<ConfigChange> ring_;
+    std::shared_ptr<SharedDocuments> documents_ = std::make_shared<SharedDocuments>();
+    std::deque<LoggedChange> ring_;
     std::size_t ringBytes_ = 0;
     /// Snapshot being served. Kept while the ring reaches back to it, so that changes during a
     /// transfer do not restart it.
--- a/coordination/include/endivequay/freshness.h
+++ b/coordination/include/endivequay/freshness.h
@@ -14,7 +14,7 @@
 namespace endivequay {
 
 /// What a service does on keyed routes while the configuration is not confirmed.
-enum class WhenStale : std::uint8_t { Refuse, Continue };
+enum class StalePolicy : std::uint8_t { Refuse, Continue };
 
 /// Report of a reader in the store's region that the store does not answer, as told to peers.
 struct SilenceReport
@@ -82,7 +82,7 @@
     /// Age of the confirmation, to be sent to peers.
     std::optional<Interval> age(Instant now) const;
     /// Whether keyed routes of a service are served. Never before the first confirmation.
-    bool servesKeyed(WhenStale whenStale, Instant now) const;
+    bool servesKeyed(StalePolicy whenStale, Instant now) const;
     FreshnessState state(Instant now) const;
     /// The state if it changed since the last call.
     std::optional<FreshnessState> stateChange(Instant now);
--- a/coordination/include/endivequay/operations.h
+++ b/coordination/include/endivequay/operations.h
@@ -110,7 +110,7 @@
 
 /// The id belongs to another instance, which alone may run it. Both values come unverified from the
 /// caller: pass on only to a member that is known by them.
-struct PassOn
+struct PassToIssuer
 {
     Incarnation issuer;
     Address address;
@@ -123,7 +123,7 @@
     OperationRefusal reason = OperationRefusal::Malformed;
 };
 
-using BeginDecision = std::variant<RunNow, WaitForCopy, Replay, PassOn, RefuseOperation>;
+using BeginDecision = std::variant<RunNow, WaitForCopy, Replay, PassToIssuer, RefuseOperation>;
 
 /// Who gets the answer of a finished operation besides the copy that ran it.
 struct FinishedOperation
--- a/coordination/src/codec.cpp
+++ b/coordination/src/codec.cpp
@@ -65,7 +65,7 @@
 }
 
 template <class A>
-void describe(A &a, Of<A, ConfigChange> &m)
+void describe(A &a, Of<A, LoggedChange> &m)
 {
     a({ "r", "revision" }, m.revision);
     a({ "b", "previous" }, m.previous);
--- a/coordination/src/configlog.cpp
+++ b/coordination/src/configlog.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-std::size_t ConfigChange::bytes() const
+std::size_t LoggedChange::bytes() const
 {
     const std::size_t putBytes = std::accumulate(
         puts.begin(), puts.end(), std::size_t { 0 }, [](std::size_t sum, const auto &put) {
@@ -35,7 +35,7 @@
     : settings_(settings)
 { }
 
-ApplyResult ConfigLog::applyChange(ConfigChange change)
+ApplyResult ConfigLog::applyChange(LoggedChange change)
 {
     if (change.revision <= revision_)
         return ApplyResult::AlreadyKnown;
@@ -43,7 +43,7 @@
         return ApplyResult::Gap;
     // A snapshot that is being served keeps the documents as they were.
     if (documents_.use_count() > 1)
-        documents_ = std::make_shared<Documents>(*documents_);
+        documents_ = std::make_shared<SharedDocuments>(*documents_);
     for (const auto &[name, text] : change.puts)
         (*documents_)[name] = text;
     for (const auto &name : change.deletes)
@@ -54,11 +54,11 @@
     return ApplyResult::Applied;
 }
 
-ApplyResult ConfigLog::applySnapshot(Revision revision, ChangeId change, Documents documents)
+ApplyResult ConfigLog::applySnapshot(Revision revision, ChangeId change, SharedDocuments documents)
 {
     if (revision <= revision_)
         return ApplyResult::AlreadyKnown;
-    documents_ = std::make_shared<Documents>(std::move(documents));
+    documents_ = std::make_shared<SharedDocuments>(std::move(documents));
     revision_ = revision;
     change_ = std::move(change);
     ring_.clear();
@@ -119,7 +119,7 @@
 {
     if (revision >= revision_)
         return ConfigDelta {};
-    auto next = std::ranges::lower_bound(ring_, revision, {}, &ConfigChange::previous);
+    auto next = std::ranges::lower_bound(ring_, revision, {}, &LoggedChange::previous);
     if (next == ring_.end() || next->previous != revision
         || next->bytes() > settings_.maxUpdateBytes)
         return std::nullopt;
@@ -136,7 +136,7 @@
 SnapshotPart ConfigLog::snapshotPart(const std::optional<SnapshotCursor> &cursor)
 {
     const bool continued = cursor && cursor->snapshot == served_->revision;
-    const Documents &documents = *served_->documents;
+    const SharedDocuments &documents = *served_->documents;
     auto next = continued ? documents.upper_bound(cursor->after) : documents.begin();
     SnapshotPart part { served_->revision, served_->change, continued ? cursor->after : "", {},
         false };
@@ -186,10 +186,10 @@
 bool ConfigLog::ringReaches(Revision revision) const
 {
     return revision == revision_
-        || std::ranges::binary_search(ring_, revision, {}, &ConfigChange::previous);
+        || std::ranges::binary_search(ring_, revision, {}, &LoggedChange::previous);
 }
 
-void ConfigLog::addToRing(ConfigChange change)
+void ConfigLog::addToRing(LoggedChange change)
 {
     ringBytes_ += change.bytes();
     ring_.push_back(std::move(change));
--- a/coordination/src/freshness.cpp
+++ b/coordination/src/freshness.cpp
@@ -106,11 +106,11 @@
     return confirmed_ ? std::optional(std::max(Interval(0), now - confirmed_->asOf)) : std::nullopt;
 }
 
-bool Freshness::servesKeyed(WhenStale whenStale, Instant now) const
+bool Freshness::servesKeyed(StalePolicy whenStale, Instant now) const
 {
     if (!confirmed_)
         return false;
-    return whenStale == WhenStale::Continue || now < confirmed_->asOf + settings_.keyedLimit;
+    return whenStale == StalePolicy::Continue || now < confirmed_->asOf + settings_.keyedLimit;
 }
 
 FreshnessState Freshness::state(Instant now) const
--- a/coordination/src/operations.cpp
+++ b/coordination/src/operations.cpp
@@ -146,7 +146,7 @@
     if (id.value()->issuer != self_) {
         if (id.value()->address == address_)
             return RefuseOperation { Outcome::Unknown, OperationRefusal::IssuerGone };
-        return PassOn { id.value()->issuer, id.value()->address };
+        return PassToIssuer { id.value()->issuer, id.value()->address };
     }
     const std::string_view signedPart = text.substr(0, text.rfind('.'));
     if (!equalConstantTime(authenticated(std::string(signedPart)), text))
--- a/coordination/test/codec_test.cpp
+++ b/coordination/test/codec_test.cpp
@@ -20,7 +20,7 @@
 {
     const MemberIdentity member { Incarnation(7), 1'700'000'000'000'000, Address("10.0.0.1:7400"),
         FailureDomainId("gulf-1") };
-    const ConfigChange change { Revision(12), Revision(9), ChangeId("c1"),
+    const LoggedChange change { Revision(12), Revision(9), ChangeId("c1"),
         { { "teams/a", text("{}") } }, { "teams/b" } };
     const std::vector<SilenceReport> silences { { Incarnation(3), Revision(9), 2s, 1s } };
     return { Hello { { 1, 2 }, member },
--- a/coordination/test/configlog_test.cpp
+++ b/coordination/test/configlog_test.cpp
@@ -10,7 +10,7 @@
 
 const Instant start { 1h };
 
-ConfigChange change(int revision, int previous, std::size_t bytes = 10)
+LoggedChange change(int revision, int previous, std::size_t bytes = 10)
 {
     return { Revision(revision), Revision(previous), ChangeId("c"),
         { { "doc" + std::to_string(revision),
@@ -130,11 +130,11 @@
 {
     Freshness freshness;
     freshness.storeAnswered(start, Revision(7));
-    CHECK_FALSE(freshness.servesKeyed(WhenStale::Continue, start));
+    CHECK_FALSE(freshness.servesKeyed(StalePolicy::Continue, start));
     freshness.applied(Revision(7));
-    CHECK(freshness.servesKeyed(WhenStale::Refuse, start + 3999ms));
-    CHECK_FALSE(freshness.servesKeyed(WhenStale::Refuse, start + 4s));
-    CHECK(freshness.servesKeyed(WhenStale::Continue, start + 4s));
+    CHECK(freshness.servesKeyed(StalePolicy::Refuse, start + 3999ms));
+    CHECK_FALSE(freshness.servesKeyed(StalePolicy::Refuse, start + 4s));
+    CHECK(freshness.servesKeyed(StalePolicy::Continue, start + 4s));
     CHECK(freshness.stateChange(start + 4s) == FreshnessState::Stale);
     CHECK_FALSE(freshness.stateChange(start + 5s).has_value());
     freshness.peerAnswered(start + 5s, 2s, Revision(7));
--- a/coordination/test/operations_test.cpp
+++ b/coordination/test/operations_test.cpp
@@ -234,7 +234,7 @@
     auto successor = tableWith({}, 2);
     CHECK(refusal(successor.begin(id, team, "r", start)) == OperationRefusal::IssuerGone);
     OperationTable other(Incarnation(3), Address("10.0.0.2:80"), "other", {});
-    const auto pass = std::get<PassOn>(other.begin(id, team, "r", start));
+    const auto pass = std::get<PassToIssuer>(other.begin(id, team, "r", start));
     CHECK(pass.address == Address("10.0.0.1:80") && pass.issuer == Incarnation(1));
 }
 
--- a/coordination/test/opsim.h
+++ b/coordination/test/opsim.h
@@ -112,7 +112,7 @@
             ++replays_;
             history_.answered(copy.id, request, replay->outcome,
                 replay->answer ? &replay->answer->body : nullptr);
-        } else if (const auto *pass = std::get_if<PassOn>(&decision)) {
+        } else if (const auto *pass = std::get_if<PassToIssuer>(&decision)) {
             if (copy.forwarded)
                 return history_.answered(copy.id, request, Outcome::Unknown, nullptr);
             send({ copy.id, copy.team, copy.request, true }, pass->address == address(0) ? 0 : 1,
--- a/coordination/test/spreadsim.h
+++ b/coordination/test/spreadsim.h
@@ -388,7 +388,7 @@
             return;
         }
         const Revision revision(storeLog_.revision().value() + 1 + below(3));
-        ConfigChange change { revision, storeLog_.revision(),
+        LoggedChange change { revision, storeLog_.revision(),
             ChangeId(std::to_string(revision.value())), {}, {} };
         for (int i = 1 + below(3); i > 0; --i)
             change.puts.emplace_back("doc" + std::to_string(below(40)),
@@ -409,7 +409,7 @@
         }
     }
 
-    static std::uint64_t digestOf(const Documents &documents)
+    static std::uint64_t digestOf(const SharedDocuments &documents)
     {
         std::uint64_t digest = 0;
         for (const auto &[name, text] : documents)
@@ -565,7 +565,7 @@
     void sampleNode(const Node &node)
     {
         const bool served
-            = node.freshness.servesKeyed(WhenStale::Refuse, node.local(schedule_.now()));
+            = node.freshness.servesKeyed(StalePolicy::Refuse, node.local(schedule_.now()));
         const bool reachable = reachesStore(node.domain);
         const Instant since = std::max(node.startedAt, reachableSince_[index(node.domain)]);
         if (reachable && schedule_.now() > since + 10s) {
