Check planned and unplanned shifts apart

Cause: with three regions and a cap of a half, shift_cap_excess could not show unlimited shift tokens, as a lost region is only a third of the traffic. Change: the planned and the unplanned part must each stay below half of the cap.

--- a/bench/experiment/src/run.cpp
+++ b/bench/experiment/src/run.cpp
@@ -162,6 +162,25 @@
     return shares;
 }
 
+/// A time and the number of requests that moved then.
+using Move = std::pair<Instant, double>;
+
+/// Largest sum of moves in any shift window.
+double mostInWindow(std::vector<Move> moves)
+{
+    std::ranges::sort(moves);
+    double sum = 0;
+    double most = 0;
+    std::size_t first = 0;
+    for (const auto &[moved, amount] : moves) {
+        sum += amount;
+        while (moves[first].first < moved - shiftWindow)
+            sum -= moves[first++].second;
+        most = std::max(most, sum);
+    }
+    return most;
+}
+
 class World
 {
 public:
@@ -929,29 +948,28 @@
     }
 }
 
+/// How far the shifted share of a service's traffic in any window is above the cap, or its planned
+/// or unplanned part above half of the cap.
 double World::shiftCapExcess(int service) const
 {
     const double rate = deployment_.services[service].rateAt(options_.utilization);
-    const double planned = rate * toSeconds(shiftWindow);
-    std::vector<std::pair<Instant, double>> moves;
+    const double windowTraffic = rate * toSeconds(shiftWindow);
+    std::vector<Move> unplanned;
     for (Instant moved : unplannedMoves_[service])
-        moves.emplace_back(moved, 1.0);
+        unplanned.emplace_back(moved, 1.0);
+    std::vector<Move> planned;
     for (const auto &[prefix, moved] : plannedMoves_[service]) {
         const int requestClass = static_cast<int>(prefix >> 8 & 0xffff) / blocksPerClass;
-        moves.emplace_back(
+        planned.emplace_back(
             moved, classRate(service, requestClass) / blocksPerClass * toSeconds(shiftWindow));
     }
-    std::ranges::sort(moves);
-    double sum = 0;
-    double highest = 0;
-    std::size_t first = 0;
-    for (const auto &[moved, amount] : moves) {
-        sum += amount;
-        while (moves[first].first < moved - shiftWindow)
-            sum -= moves[first++].second;
-        highest = std::max(highest, sum);
-    }
-    return std::max(0.0, highest / planned - shiftCap);
+    std::vector<Move> all = unplanned;
+    all.insert(all.end(), planned.begin(), planned.end());
+    const auto excess = [&](std::vector<Move> moves, double limit) {
+        return std::max(0.0, mostInWindow(std::move(moves)) / windowTraffic - limit);
+    };
+    return std::max(
+        { excess(all, shiftCap), excess(planned, shiftCap / 2), excess(unplanned, shiftCap / 2) });
 }
 
 RunResult World::result() const
--- a/bench/experiment/src/run.h
+++ b/bench/experiment/src/run.h
@@ -43,7 +43,9 @@
     double overallAttemptsPerRequest = 1; ///< Of all tried requests at that time.
     double slotsExcess = 0; ///< Requests in flight at an upstream above its slots.
     double regionExcess = 0; ///< Requests in flight in a region above its slots.
-    double shiftCapExcess = 0; ///< Share of a service's traffic shifted in a window above the cap.
+    /// Share of a service's traffic shifted in a window above the cap, or of its planned or
+    /// unplanned part above half of it.
+    double shiftCapExcess = 0;
     /// Counted requests without a good response, by the last thing that happened to them.
     std::map<std::string, int> losses;
     double lastNewWork = 0; ///< From the order to drain to the last start at a leaving upstream.
