Rename types of policy that clash with another package

Cause: packages share one namespace; equal names with different layouts break the one-definition rule. Change: names only. Conclusion: all packages can be linked into one binary.

--- a/bench/experiment/src/node.cpp
+++ b/bench/experiment/src/node.cpp
@@ -63,7 +63,7 @@
         view_.started(id, now);
 }
 
-void Node::finished(const UpstreamId &id, UpstreamOutcome outcome, Interval latency, Instant now)
+void Node::finished(const UpstreamId &id, RequestResult outcome, Interval latency, Instant now)
 {
     --inFlight_;
     --find(id)->inFlight;
--- a/bench/experiment/src/node.h
+++ b/bench/experiment/src/node.h
@@ -29,7 +29,7 @@
 
     std::optional<UpstreamId> choose(Instant now);
     void started(const UpstreamId &id, Instant now);
-    void finished(const UpstreamId &id, UpstreamOutcome outcome, Interval latency, Instant now);
+    void finished(const UpstreamId &id, RequestResult outcome, Interval latency, Instant now);
 
     /// Adds a request; a full queue gives one up, which is returned.
     std::optional<Ticket> push(const WaitingRequest &request, Instant now);
--- a/bench/experiment/src/run.cpp
+++ b/bench/experiment/src/run.cpp
@@ -235,7 +235,7 @@
     void decide(Ticket ticket, int instance, int life);
     void start(Ticket ticket, int instance, Upstream &upstream);
     void finish(
-        Ticket ticket, int instance, Upstream &upstream, UpstreamOutcome outcome, Interval latency);
+        Ticket ticket, int instance, Upstream &upstream, RequestResult outcome, Interval latency);
     void answered(Ticket ticket);
     void comeBack(Ticket ticket);
 
@@ -660,16 +660,16 @@
     result_.slotsExcess = std::max<double>(result_.slotsExcess, upstream.inFlight - upstream.slots);
     result_.regionExcess = std::max(result_.regionExcess, inRegion - regionSlots);
 
-    UpstreamOutcome outcome = UpstreamOutcome::Good;
+    RequestResult outcome = RequestResult::Good;
     Interval time = fromSeconds(toSeconds(request.serviceTime) * upstream.timeFactor(now_));
     if (upstream.inFlight > upstream.realSlots(now_)) {
-        outcome = UpstreamOutcome::Shed;
+        outcome = RequestResult::Shed;
         time = shedTime;
     } else if (upstream.isFailing) {
-        outcome = UpstreamOutcome::Failed;
+        outcome = RequestResult::Failed;
         time = failureTime;
     } else if (now_ + time > request.deadline) {
-        outcome = UpstreamOutcome::Cancelled;
+        outcome = RequestResult::Cancelled;
         time = std::max<Interval>(request.deadline - now_, 1ms);
     }
     after(time, [=, this, life = instance.life, &upstream] {
@@ -679,7 +679,7 @@
 }
 
 void World::finish(
-    Ticket ticket, int index, Upstream &upstream, UpstreamOutcome outcome, Interval latency)
+    Ticket ticket, int index, Upstream &upstream, RequestResult outcome, Interval latency)
 {
     Request &request = requests_[ticket];
     Instance &instance = instances_[index];
@@ -687,13 +687,13 @@
     instance.nodes[request.service].finished(upstream.id, outcome, latency, now_);
     if (drainedAt_ && upstream.domain == drainedDomain_)
         result_.drainTime = std::max(result_.drainTime, toSeconds(now_ - *drainedAt_));
-    const bool mayRetry = outcome == UpstreamOutcome::Shed
-        || (outcome == UpstreamOutcome::Failed && !request.isOnce);
-    request.fate = outcome == UpstreamOutcome::Good ? "late"
-        : outcome == UpstreamOutcome::Shed          ? "shed"
-        : outcome == UpstreamOutcome::Failed        ? "failed"
-                                                    : "deadline_at_upstream";
-    if (outcome == UpstreamOutcome::Good)
+    const bool mayRetry
+        = outcome == RequestResult::Shed || (outcome == RequestResult::Failed && !request.isOnce);
+    request.fate = outcome == RequestResult::Good ? "late"
+        : outcome == RequestResult::Shed          ? "shed"
+        : outcome == RequestResult::Failed        ? "failed"
+                                                  : "deadline_at_upstream";
+    if (outcome == RequestResult::Good)
         answered(ticket);
     else if (mayRetry && instance.nodes[request.service].mayRetry(now_)
         && instance.retries.tryRetry(
--- a/policy/include/endivequay/loadestimate.h
+++ b/policy/include/endivequay/loadestimate.h
@@ -32,7 +32,7 @@
 };
 
 /// How a request at an upstream ended.
-enum class UpstreamOutcome {
+enum class RequestResult {
     Good, ///< A complete response that is not a sign of overload.
     Shed, ///< The upstream refused for lack of room (503).
     Failed, ///< Connect failure, timeout or broken response.
@@ -60,8 +60,7 @@
     /// Takes a slot for a request. Call only for an upstream that choose() returned.
     void started(const UpstreamId &upstream, Instant now);
     /// Returns the slot of a request that took \a latency.
-    void finished(
-        const UpstreamId &upstream, UpstreamOutcome outcome, Interval latency, Instant now);
+    void finished(const UpstreamId &upstream, RequestResult outcome, Interval latency, Instant now);
 
     /// An upstream of \a candidates with a free slot, or none. Of two random ones the one with the
     /// lower expected time is taken; an upstream that is much slower than the others is used only
--- a/policy/src/loadestimate.cpp
+++ b/policy/src/loadestimate.cpp
@@ -104,17 +104,17 @@
 }
 
 void UpstreamView::finished(
-    const UpstreamId &upstream, UpstreamOutcome outcome, Interval latency, Instant now)
+    const UpstreamId &upstream, RequestResult outcome, Interval latency, Instant now)
 {
     const auto found = states_.find(upstream);
     if (found == states_.end() || found->second.inFlight == 0)
         return;
     State &state = found->second;
-    if (outcome == UpstreamOutcome::Good)
+    if (outcome == RequestResult::Good)
         good(state, latency, now);
-    else if (outcome == UpstreamOutcome::Shed)
+    else if (outcome == RequestResult::Shed)
         shed(state, now);
-    else if (outcome == UpstreamOutcome::Failed)
+    else if (outcome == RequestResult::Failed)
         failed(state, now);
     --state.inFlight;
 }
--- a/policy/test/loadestimate_test.cpp
+++ b/policy/test/loadestimate_test.cpp
@@ -15,7 +15,7 @@
 }
 
 /// Runs \a count requests one after the other on \a upstream.
-void runOn(UpstreamView &view, ManualClock &clock, const UpstreamId &id, UpstreamOutcome outcome,
+void runOn(UpstreamView &view, ManualClock &clock, const UpstreamId &id, RequestResult outcome,
     int count, Interval latency = 20ms)
 {
     for (int i = 0; i < count; ++i) {
@@ -36,7 +36,7 @@
         }
         clock.advance(20ms);
         for (const UpstreamId &id : taken)
-            view.finished(id, UpstreamOutcome::Good, 20ms, clock.now());
+            view.finished(id, RequestResult::Good, 20ms, clock.now());
     }
 }
 
@@ -70,8 +70,8 @@
                 upstreams.reportReceived(
                     upstream(*rc::gen::inRange(0, 3)), randomReport(), time.now());
             if (action == 1 && !running.empty()) {
-                const auto outcome = *rc::gen::element(UpstreamOutcome::Good, UpstreamOutcome::Shed,
-                    UpstreamOutcome::Failed, UpstreamOutcome::Cancelled);
+                const auto outcome = *rc::gen::element(RequestResult::Good, RequestResult::Shed,
+                    RequestResult::Failed, RequestResult::Cancelled);
                 upstreams.finished(running.back(), outcome, 20ms, time.now());
                 running.pop_back();
             }
@@ -111,7 +111,7 @@
     view.setShare(up, { 8, 9, false, false }, clock.now());
     for (int i = 0; i < 8; ++i)
         view.started(up, clock.now());
-    view.finished(up, UpstreamOutcome::Shed, 1ms, clock.now());
+    view.finished(up, RequestResult::Shed, 1ms, clock.now());
     const int lowered = view.usableSlots(up, clock.now());
     CHECK(lowered < 8);
     view.reportReceived(up, { 0, 9, false }, clock.now());
@@ -143,9 +143,9 @@
     view.setShare(up, { 9, 9, false, true }, clock.now());
     clock.advance(10s);
     LONGS_EQUAL(1, view.usableSlots(up, clock.now()));
-    runOn(view, clock, up, UpstreamOutcome::Good, 1);
+    runOn(view, clock, up, RequestResult::Good, 1);
     for (int expected : { 2, 4, 8 }) {
-        runOn(view, clock, up, UpstreamOutcome::Good, 50);
+        runOn(view, clock, up, RequestResult::Good, 50);
         LONGS_EQUAL(expected, view.usableSlots(up, clock.now()));
     }
 }
@@ -155,17 +155,17 @@
 TEST(UpstreamView, EjectsAfterFailuresAndProbes)
 {
     view.setShare(up, { 5, 9, false, false }, clock.now());
-    runOn(view, clock, up, UpstreamOutcome::Failed, 5);
+    runOn(view, clock, up, RequestResult::Failed, 5);
     CHECK(view.isEjected(up, clock.now()));
     CHECK_FALSE(view.choose(clock.now()).has_value());
     CHECK_FALSE(view.hasHealthyUpstream(clock.now()));
     clock.advance(1s);
     LONGS_EQUAL(1, view.usableSlots(up, clock.now()));
-    runOn(view, clock, up, UpstreamOutcome::Failed, 1);
+    runOn(view, clock, up, RequestResult::Failed, 1);
     clock.advance(1s);
     CHECK(view.isEjected(up, clock.now()));
     clock.advance(1s);
-    runOn(view, clock, up, UpstreamOutcome::Good, 1);
+    runOn(view, clock, up, RequestResult::Good, 1);
     CHECK_FALSE(view.isEjected(up, clock.now()));
     CHECK(view.hasHealthyUpstream(clock.now()));
     LONGS_EQUAL(1, view.usableSlots(up, clock.now()));
@@ -176,13 +176,13 @@
 {
     view.setShare(upstream(0), { 9, 9, false, false }, clock.now());
     view.setShare(upstream(1), { 9, 9, false, false }, clock.now());
-    runOn(view, clock, upstream(0), UpstreamOutcome::Good, 10, 20ms);
-    runOn(view, clock, upstream(1), UpstreamOutcome::Good, 10, 400ms);
+    runOn(view, clock, upstream(0), RequestResult::Good, 10, 20ms);
+    runOn(view, clock, upstream(1), RequestResult::Good, 10, 400ms);
     int slow = 0;
     for (int i = 0; i < 1'000; ++i) {
         const UpstreamId id = *view.choose(clock.now());
         slow += id == upstream(1);
-        runOn(view, clock, id, UpstreamOutcome::Good, 1, id == upstream(1) ? 400ms : 20ms);
+        runOn(view, clock, id, RequestResult::Good, 1, id == upstream(1) ? 400ms : 20ms);
     }
     CHECK(slow > 0);
     CHECK(slow < 100);
