--- a/coordination/test/shares_exploration_test.cpp
+++ b/coordination/test/shares_exploration_test.cpp
@@ -23,7 +23,7 @@
 struct Budget
 {
     int losses = 0, duplicates = 0, crashes = 0, restarts = 0, pauses = 0;
-    int loans = 0, slotLoans = 0, uses = 0;
+    int loans = 0, uses = 0;
     std::size_t spendUntil = 3; ///< Time step from which nothing of it may happen any more.
 };
 
@@ -99,6 +99,35 @@
         nodes[node].keeper.applyLedger(snapshot);
         input(node, static_cast<std::uint64_t>(snapshot.revision.value()));
     }
+    /// Enough requests for a lasting demand, so that rate is borrowed and renewed.
+    void demand(std::size_t node)
+    {
+        for (int request = 0; request < 8; ++request)
+            nodes[node].shares.rates().tryAcquire(tokens, RequestCount(1), now);
+    }
+    /// Uses all slots for as long as a request may take.
+    void use(std::size_t node)
+    {
+        input(node, 3);
+        demand(node);
+        const Instant deadline = now + maxRequestTime;
+        while (const auto lease = nodes[node].shares.slots().acquire(slots, deadline, now))
+            uses.push_back({ node, *lease, deadline });
+    }
+    void askSlot(std::size_t node)
+    {
+        input(node, 2);
+        send(node, nodes[node].shares.slots().wantLoan(slots, 1, now));
+    }
+    /// Delivers everything at once.
+    void settle()
+    {
+        while (!network.empty()) {
+            const Flight flight = network.front();
+            network.erase(network.begin());
+            deliver(flight);
+        }
+    }
     bool runs(std::size_t node) const { return !nodes[node].crashed && !nodes[node].paused; }
 
     void input(std::size_t node, std::uint64_t what)
@@ -201,7 +230,7 @@
         std::vector<std::uint64_t> parts { step,
             static_cast<std::uint64_t>(stored.revision.value()), uses.size() };
         for (const int left : { budget.losses, budget.duplicates, budget.crashes, budget.restarts,
-                 budget.pauses, budget.loans, budget.slotLoans, budget.uses })
+                 budget.pauses, budget.loans, budget.uses })
             parts.push_back(static_cast<std::uint64_t>(left));
         for (const Node &node : nodes)
             parts.push_back(mix(node.history, (node.crashed ? 2U : 0U) + (node.paused ? 1U : 0U)));
@@ -313,21 +342,10 @@
         // The other instances borrow from the first one and use what they have.
         spend(world, &Budget::loans, [&](World &next) {
             next.input(i, 1);
+            next.demand(i);
             next.send(i, next.nodes[i].shares.rates().wantLoan(tokens, RequestCount(9), next.now));
         });
-        spend(world, &Budget::slotLoans, [&](World &next) {
-            next.input(i, 2);
-            next.send(i, next.nodes[i].shares.slots().wantLoan(slots, 1, next.now));
-        });
-        spend(world, &Budget::uses, [&](World &next) {
-            next.input(i, 3);
-            for (Instant deadline = next.now + maxRequestTime;;) {
-                const auto lease = next.nodes[i].shares.slots().acquire(slots, deadline, next.now);
-                if (!lease)
-                    break;
-                next.uses.push_back({ i, *lease, deadline });
-            }
-        });
+        spend(world, &Budget::uses, [&](World &next) { next.use(i); });
     }
 
     std::vector<Interval> steps_;
@@ -357,6 +375,16 @@
     return world;
 }
 
+/// As pair(); instance 2 has borrowed a slot of instance 1 and uses it and its own ones.
+World withSlotsInUse(const Budget &budget)
+{
+    World world = pair(60, budget);
+    world.askSlot(1);
+    world.settle();
+    world.use(1);
+    return world;
+}
+
 void explore(const char *name, World world, std::vector<Interval> steps)
 {
     Explorer explorer(std::move(world), std::move(steps), 20'000);
@@ -369,17 +397,27 @@
 TEST_GROUP(SharesExploration) {};
 
 // Guards against tokens or rate that exist twice around the end, renewal or return of a loan.
-TEST(SharesExploration, LoanUnderLossAndDuplicates)
+TEST(SharesExploration, LoanUnderLoss)
 {
     Budget budget;
-    budget.losses = budget.duplicates = 1;
-    budget.loans = 2;
-    budget.spendUntil = 2;
+    budget.losses = budget.loans = budget.uses = 1;
+    budget.spendUntil = 4;
     const std::vector<Interval> steps { milliseconds(20), milliseconds(2000), milliseconds(2000),
         milliseconds(990), milliseconds(30), milliseconds(20), milliseconds(40) };
     explore("loan", pair(60, budget), steps);
 }
 
+// Guards against a loan that is granted, taken or returned twice because a message is repeated.
+TEST(SharesExploration, LoanUnderDuplicates)
+{
+    Budget budget;
+    budget.duplicates = 1;
+    budget.loans = budget.uses = 1;
+    const std::vector<Interval> steps { milliseconds(20), milliseconds(300), milliseconds(3700),
+        milliseconds(990), milliseconds(60) };
+    explore("loan with duplicates", pair(60, budget), steps);
+}
+
 // Guards against a cell or its tokens in use by the former and the next owner during a join, also
 // when two keepers act, messages are lost and a loan is under way.
 TEST(SharesExploration, JoinWithLoan)
@@ -398,9 +436,9 @@
 TEST(SharesExploration, JoinWithPauseAndSlots)
 {
     Budget budget;
-    budget.pauses = budget.slotLoans = budget.uses = 1;
+    budget.pauses = 1;
     budget.spendUntil = 1;
-    World world = pair(100, budget);
+    World world = withSlotsInUse(budget);
     world.add(3, "10.0.0.3:1");
     const std::vector<Interval> steps { milliseconds(1000), milliseconds(2500), milliseconds(9000),
         milliseconds(1500), milliseconds(3000) };
@@ -411,11 +449,10 @@
 TEST(SharesExploration, RestartWithSlotLoan)
 {
     Budget budget;
-    budget.restarts = budget.slotLoans = 1;
-    budget.uses = 1;
+    budget.restarts = 1;
     budget.spendUntil = 1;
     const std::vector<Interval> steps(6, milliseconds(4500));
-    explore("restart with slot loan", pair(60, budget), steps);
+    explore("restart with slot loan", withSlotsInUse(budget), steps);
 }
 
 // Guards against tokens that exist twice when an owner ends while its rate is lent.
@@ -424,7 +461,8 @@
     Budget budget;
     budget.restarts = budget.loans = 1;
     budget.spendUntil = 2;
-    const std::vector<Interval> steps { milliseconds(50), milliseconds(950), milliseconds(1000),
-        milliseconds(1000), milliseconds(1000), milliseconds(1200) };
+    // The first steps are short, because an idle borrower returns its loan.
+    const std::vector<Interval> steps { milliseconds(50), milliseconds(150), milliseconds(100),
+        milliseconds(700), milliseconds(2000), milliseconds(2200) };
     explore("restart with loan", pair(60, budget), steps);
 }
--- a/coordination/test/shares_test.cpp
+++ b/coordination/test/shares_test.cpp
@@ -321,3 +321,47 @@
     owner.applyLedger(snapshot, late);
     CHECK(owner.usableCells(late).all());
 }
+
+// Guards against a renewal that restores what was passed on while it was under way.
+TEST(Shares, RenewalCoversOnlyWhatIsStillHeld)
+{
+    const auto definition
+        = ResourceDefinition::team(small, RequestRate(4), RequestCount(16), { d0 });
+    CellLedger ledger(d0);
+    ledger.assign(allCells(), Incarnation(1), {});
+    RateShares rates(Incarnation(3), d0);
+    rates.define({ definition }, start, RaiseRule::Immediate);
+    rates.setOwners({ { d0, ledger } });
+    const auto attempts = [&](int count, Instant now) {
+        for (int i = 0; i < count; ++i)
+            rates.tryAcquire(small, RequestCount(1), now);
+    };
+    const auto answer = [&](const LoanRequest &wanted, Instant now) {
+        LoanReply reply;
+        reply.id = wanted.id;
+        reply.resource = small;
+        reply.lender = Incarnation(1);
+        reply.definition = definition.digest();
+        reply.amount = { 4'000'000, 8'000'000 };
+        reply.term = rateLoanTerm;
+        rates.onLoanReply(reply, now);
+    };
+    attempts(8, start);
+    answer(std::get<LoanRequest>(rates.wantLoan(small, RequestCount(8), start)[0].message), start);
+    const Instant renewing = start + milliseconds(3600);
+    attempts(6, renewing);
+    const auto out = rates.tick(renewing);
+    const auto renewal = std::ranges::find_if(out, [](const ShareOutgoing &message) {
+        const auto *sent = std::get_if<LoanRequest>(&message.message);
+        return sent && sent->renews;
+    });
+    CHECK(renewal != out.end());
+    LoanRequest other = request(definition, 9);
+    other.amount.rate = 1'000'000;
+    const Allotment passed = rates.onLoanRequest(other, renewing).amount;
+    CHECK(passed.rate > 0);
+    answer(std::get<LoanRequest>(renewal->message), renewing);
+    const Allotment held = rates.account(small, start + milliseconds(5001)).borrowed;
+    LONGS_EQUAL(4'000'000, held.rate + passed.rate);
+    LONGS_EQUAL(8'000'000, held.burst + passed.burst);
+}
