--- a/support/benchhttp.py
+++ b/support/benchhttp.py
@@ -18,6 +18,7 @@
 ROUNDS = 5
 LOOKUP = "/v1/lookup?service=storefront&client=10.1.2.3"
 TEAM = "kandla-sorting"
+# The home of this client is the domain of the measured instance, so no shift budget is needed.
 
 
 class Bench:
@@ -37,7 +38,7 @@
     def fleet(self, policy):
         fleet = Fleet(self.build, "kapadwala", instances_per_domain=1)
         for team in fleet.configuration["teams"]:
-            team["rate"], team["burst"] = 1e6, 1e6
+            team["rate"], team["burst"] = 60000, 60000
         for region in fleet.configuration["regions"]:
             region.pop("capacity", None)
         fleet.publish_list()
@@ -66,7 +67,7 @@
                0.5, at_least=True)
 
     def keyed(self, fleet):
-        headers = (f"Endivequay-Key: demo-key-{TEAM}", "X-Client: 10.1.2.3")
+        headers = (f"Endivequay-Key: demo-key-{TEAM}", "X-Client: 10.5.2.3")
         return statistics.median(
             self.rate(fleet.instances[0].address, "/s/storefront/orders", *headers, connections=8)
             for _ in range(ROUNDS))
--- a/support/fleet.py
+++ b/support/fleet.py
@@ -101,9 +101,9 @@
         self.build = pathlib.Path(build).resolve()
         self.directory = pathlib.Path(tempfile.mkdtemp(prefix="endivequay-demo-"))
         self.processes = []
-        base = free_ports(200)
+        base = free_ports(400)
         printed = subprocess.run(
-            [self.build / f"config/{example}", "--base-port", str(base + 100),
+            [self.build / f"config/{example}", "--base-port", str(base + 300),
              "--key-prefix", "demo-key", *example_options],
             check=True, capture_output=True, text=True)
         self.configuration = json.loads(printed.stdout)
