engine: limits that hold while all instances restart; homes that rest

Cause (limits): after a kill of all, the first division of the limits ran when the table was set, before the members were. Each instance took itself for the whole fleet for a quarter of a second, with half of the limit and a full bucket. Ruled out: keepers that disagree (their parts add up to the reserve) and a wrong level after the restart (a line of the log shows 0.21 tokens once the members were counted). Second cause, found by a play of the pure code: if all demands rise at once, every instance weighs its own new demand against old reports of the others, and the shares add up to up to 1.38 of the limit in a fleet of 8. Change: a change of the members divides the limits at once; at least one member is assumed for each failure domain; the own demand counts once the others know of it; members that were just listed are asked as keepers, and a question shows that its sender lives; limits are divided every 50 ms for 2 s after a start. A refused request comes back after a time that follows the demand on the fleet: the refill of one hundredth of a limit took minutes.

Cause (homes): the part of objects with a home in the callers' domain shrank with every cold first run at a new home, and swung around the point where caches overflow; each swing moved objects to upstreams that did not know them. Change: only objects that an upstream had before count as forgotten; the part rests between two thresholds, halves when upstreams forget and returns there slowly. Sends are logged and counted by failure domain.

--- a/engine/include/endivequay/fleet.h
+++ b/engine/include/endivequay/fleet.h
@@ -33,7 +33,8 @@
     FailureDomainId domain;
     RegionId region;
     DemandReport demand;
-    Instant heardAt; ///< Time of its last report.
+    Instant heardAt; ///< Time of its last message.
+    Instant listedAt {}; ///< When it first appeared in the list of members.
 };
 
 /// Rate of events, an exponentially weighted mean. Not thread safe.
--- a/engine/include/endivequay/fleetquota.h
+++ b/engine/include/endivequay/fleetquota.h
@@ -5,6 +5,7 @@
 #include "endivequay/refillbucket.h"
 #include "endivequay/routing.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <span>
@@ -45,9 +46,11 @@
 ///
 /// Part of each limit is divided among the instances. The rest is a reserve that one instance keeps
 /// for each team; an instance whose share is used up asks it before it refuses. The keeper is
-/// chosen by rendezvous among the members with fresh reports, and keeps only their part of the
-/// reserve, so that the keepers of two halves of a partitioned fleet have no more than the whole. A
-/// keeper that takes over begins with nothing, so that kills do not grant a reserve twice.
+/// chosen by rendezvous among the members with fresh reports and those that were just listed, and
+/// keeps only the part of the reserve of those it has heard, so that the keepers of two halves of a
+/// partitioned fleet have no more than the whole. A keeper that takes over begins with nothing, so
+/// that kills do not grant a reserve twice. A limit that all instances exceed at once, also right
+/// after a restart of all, stays within its bound.
 class FleetQuota
 {
 public:
@@ -61,6 +64,16 @@
     /// tokens could exceed the limit together.
     static constexpr Interval grantLifetime = std::chrono::milliseconds(400);
 
+    /// The own demand counts toward the own share only once the others know of it: after a beat and
+    /// a half, or two digests in a large fleet. If all demands rise together and every instance
+    /// counts its own at once, the shares add up to several times the limit.
+    static constexpr Interval demandDelay = std::chrono::milliseconds(1250);
+    static constexpr Interval demandDelayLargeFleet = std::chrono::milliseconds(2250);
+
+    /// Callers come back once, so not before shares and keepers have followed a change.
+    static constexpr Interval shortestRetry = std::chrono::milliseconds(400);
+    static constexpr Interval longestRetry = std::chrono::seconds(5);
+
     /// A report older than this counts as missing; two reports between regions may be lost.
     static constexpr Interval staleReport = std::chrono::milliseconds(2600);
     /// Part of the burst that is spread over the window. What a window allows beyond the refill
@@ -70,9 +83,12 @@
     /// move: they move with a delay of one report.
     static constexpr double grantedDepth = 0.6;
 
-    FleetQuota(InstanceId self, QuotaTolerance tolerance)
+    /// \a leastMembers is the smallest number of instances that the deployment can have. An
+    /// instance that starts while the store has lost the registrations knows no other member.
+    FleetQuota(InstanceId self, QuotaTolerance tolerance, std::size_t leastMembers = 1)
         : self_(std::move(self))
         , tolerance_(tolerance)
+        , leastMembers_(leastMembers)
     { }
 
     /// Recomputes the shares. \a peers are the other members of the fleet.
@@ -91,12 +107,15 @@
     void giveBack(const TeamId &team);
     /// What decides about \a team here and now, for the log.
     std::string describe(const TeamId &team, Instant now);
-    /// Time after which one more request of \a team is within its limit.
-    Interval retryAfter(const TeamId &team, Instant now);
+    /// Time after which a refused request of \a team should come back. It follows from the demand
+    /// on the fleet: the own share may be a fraction of a request, whose refill takes minutes.
+    Interval retryAfter(const TeamId &team) const;
 
 private:
     InstanceId self_;
     QuotaTolerance tolerance_;
+    std::size_t leastMembers_;
+    std::deque<std::pair<Instant, DemandReport>> ownDemands_; ///< Oldest first.
     struct Share
     {
         DemandKey key;
@@ -116,6 +135,8 @@
     };
 
     Share *find(DemandKey team);
+    /// The own demand as the others know it, and remembers the present one.
+    DemandReport knownDemand(const DemandReport &own, Interval delay, Instant now);
     InstanceId keeperOf(DemandKey team) const;
 
     std::map<TeamId, Share> shares_;
--- a/engine/include/endivequay/placement.h
+++ b/engine/include/endivequay/placement.h
@@ -70,23 +70,35 @@
 ///
 /// Answers bytes between failure domains. A home in each domain makes an upstream hold more
 /// objects, so the part grows while the domain's upstreams answer warm and shrinks while they
-/// forget objects; with growth and shrinkage as set it settles where one run in six is cold.
+/// forget objects. In between it rests: each change moves objects, which are cold at the new home.
 class LocalityShare
 {
 public:
-    /// An attempt at an upstream of the own domain ended well. \a members is the number of
-    /// instances in the domain: each sees a part of the attempts, and all shall move as fast as one
-    /// would.
+    /// An attempt at an upstream of the own domain ended well. \a cold tells that the upstream had
+    /// forgotten the object; the first run of an object at an upstream is not to be reported.
+    /// \a members is the number of instances in the domain: each sees a part of the attempts, and
+    /// all shall move as fast as one would.
     void observe(bool cold, std::size_t members);
     /// Whether the object's home is in the own domain.
     bool covers(std::uint64_t objectHash) const;
     double part() const { return part_; }
 
 private:
-    static constexpr double growth = 0.005; ///< For a warm attempt, times the members.
-    static constexpr double shrinkage = 0.025; ///< For a cold attempt, times the members.
+    static constexpr double growth = 0.003; ///< For an attempt, times the members.
+    static constexpr double shrinkFactor = 0.5; ///< At once, when upstreams forget objects.
     static constexpr std::size_t mostMembers = 8; ///< More would let single attempts decide.
+    /// Weight of one attempt in the part of cold ones: about 25 attempts decide.
+    static constexpr double attemptWeight = 0.04;
+    /// A cold run takes three times as long as a warm one, so that one in twelve costs a sixth of
+    /// the slots. Waits alone make a few in a hundred look cold.
+    static constexpr double growBelow = 0.03;
+    static constexpr double shrinkAbove = 0.08;
+    /// Growth beyond the part at which upstreams last forgot objects. A try there costs about a
+    /// hundred cold runs, so it is repeated rarely.
+    static constexpr double growthBeyondCeiling = 0.0002;
     double part_ = 0;
+    double ceiling_ = 1; ///< The part at which upstreams last forgot objects.
+    double coldPart_ = 0; ///< Moving mean.
 };
 
 /// Bounds how many requests leave the region that the placement chose. Not thread safe.
--- a/engine/include/endivequay/refillbucket.h
+++ b/engine/include/endivequay/refillbucket.h
@@ -52,14 +52,6 @@
         return level_;
     }
 
-    /// Time until \a tokens are available.
-    Interval waitFor(double tokens, Instant now)
-    {
-        fill(now);
-        const double missing = tokens - level_;
-        return missing <= 0 || rate_ <= 0 ? Interval {} : fromSeconds(missing / rate_);
-    }
-
 private:
     void fill(Instant now)
     {
--- a/engine/include/endivequay/requestengine.h
+++ b/engine/include/endivequay/requestengine.h
@@ -61,6 +61,7 @@
     Address address;
     ServiceId service;
     RegionId region;
+    FailureDomainId domain;
     TeamId team;
     Instant deadline; ///< The upstream's answer is useless afterwards.
     bool repeatable = false;
@@ -156,6 +157,7 @@
         Instant waitUntil;
         Instant sentAt;
         std::optional<UpstreamId> current;
+        bool objectKnown = false; ///< The present upstream had the object before.
         std::vector<UpstreamId> tried;
         int sends = 0;
         int connects = 0;
@@ -217,6 +219,7 @@
     bool taking_ = true;
     bool rebalancePending_ = false;
     Instant rebalanceAt_; ///< Not before.
+    Instant startedAt_; ///< First division of the limits.
 };
 
 } // namespace endivequay
--- a/engine/include/endivequay/upstreamset.h
+++ b/engine/include/endivequay/upstreamset.h
@@ -87,6 +87,8 @@
     const UpstreamEntry *choose(const UpstreamQuery &query, Instant now);
     /// Where \a id is; none if it is unknown.
     std::optional<FailureDomainId> domainOf(const UpstreamId &id) const;
+    /// Whether this instance sent a request for the object to \a id lately.
+    bool sentLately(const UpstreamId &id, std::uint64_t objectHash, Instant now) const;
     /// Slots of the usable upstreams of a region, taken or not; cold ones have none.
     double slots(const ServiceId &service, const RegionId &region, Instant now) const;
     /// Whether the service has any usable upstream in the region, with room or not.
--- a/engine/src/fleetquota.cpp
+++ b/engine/src/fleetquota.cpp
@@ -37,26 +37,47 @@
     })->first;
 }
 
+DemandReport FleetQuota::knownDemand(const DemandReport &own, Interval delay, Instant now)
+{
+    ownDemands_.emplace_back(now, own);
+    // The first entry is the latest one that is old enough.
+    while (ownDemands_.size() > 1 && ownDemands_[1].first <= now - delay)
+        ownDemands_.pop_front();
+    if (ownDemands_.front().first > now - delay)
+        return {};
+    DemandReport known;
+    for (const auto &[key, rate] : own)
+        known[key] = std::min(rate, demandOf(ownDemands_.front().second, key));
+    return known;
+}
+
 void FleetQuota::rebalance(const RoutingDocument &document, const DemandReport &own,
     std::span<const PeerView> peers, Instant now)
 {
-    DemandReport fleet = own;
+    const std::size_t members = std::max(peers.size() + 1, leastMembers_);
+    const DemandReport ownKnown
+        = knownDemand(own, members > largeFleet ? demandDelayLargeFleet : demandDelay, now);
+    DemandReport fleet = ownKnown;
     std::vector<std::pair<InstanceId, std::uint64_t>> keepers { { self_, hash64(self_.value()) } };
+    std::size_t heard = 1;
     for (const PeerView &peer : peers) {
-        if (now - peer.heardAt >= staleReport)
+        const bool fresh = now - peer.heardAt < staleReport;
+        // After a restart of all, the first to be asked is the one that all others ask as well.
+        if (fresh || now - peer.listedAt < staleReport)
+            keepers.emplace_back(peer.id, hash64(peer.id.value()));
+        if (!fresh)
             continue;
-        keepers.emplace_back(peer.id, hash64(peer.id.value()));
+        ++heard;
         for (const auto &[key, rate] : peer.demand)
             fleet[key] += rate;
     }
     if (keepers != keepers_)
         ++keepersVersion_;
     keepers_ = std::move(keepers);
-    const std::size_t members = peers.size() + 1;
-    const std::size_t stale = members - keepers_.size();
+    const std::size_t stale = members - heard;
     const double window = toSeconds(tolerance_.window);
     const double reserved = members > largeFleet ? reservePartLargeFleet : reservePart;
-    const double freshPart = static_cast<double>(keepers_.size()) / static_cast<double>(members);
+    const double freshPart = static_cast<double>(heard) / static_cast<double>(members);
     std::map<TeamId, Share> shares;
     for (const TeamSettings &team : document.teams) {
         if (team.rate.value() <= 0)
@@ -65,9 +86,9 @@
         const auto known = shares_.find(team.id);
         Share share = known == shares_.end() ? Share {} : known->second;
         share.key = key;
-        share.ownDemand = demandOf(own, key);
+        share.ownDemand = demandOf(ownKnown, key);
         share.fleetDemand = demandOf(fleet, key);
-        share.part = fleetShare(share.ownDemand, share.fleetDemand, keepers_.size(), stale);
+        share.part = fleetShare(share.ownDemand, share.fleetDemand, heard, stale);
         share.rate = team.rate.value();
         share.members = members;
         share.stale = stale;
@@ -168,10 +189,15 @@
         share->second.bucket.add(1);
 }
 
-Interval FleetQuota::retryAfter(const TeamId &team, Instant now)
+Interval FleetQuota::retryAfter(const TeamId &team) const
 {
-    const auto share = shares_.find(team);
-    return share == shares_.end() ? Interval {} : share->second.bucket.waitFor(1, now);
+    const auto found = shares_.find(team);
+    if (found == shares_.end())
+        return {};
+    // The requests of one second beyond the limit are served within this time.
+    const Share &share = found->second;
+    const double excess = std::max(0.0, share.fleetDemand / share.rate - 1);
+    return std::clamp<Interval>(fromSeconds(excess), shortestRetry, longestRetry);
 }
 
 std::string FleetQuota::describe(const TeamId &team, Instant now)
--- a/engine/src/placement.cpp
+++ b/engine/src/placement.cpp
@@ -101,8 +101,16 @@
 
 void LocalityShare::observe(bool cold, std::size_t members)
 {
+    coldPart_ += attemptWeight * ((cold ? 1 : 0) - coldPart_);
     const auto weight = static_cast<double>(std::min(members, mostMembers));
-    part_ = std::clamp(part_ + weight * (cold ? -shrinkage : growth), 0.0, 1.0);
+    if (coldPart_ < growBelow) {
+        ceiling_ = std::min(1.0, ceiling_ + weight * growthBeyondCeiling);
+        part_ = std::min(ceiling_, part_ + weight * growth);
+    } else if (coldPart_ > shrinkAbove) {
+        part_ *= shrinkFactor;
+        ceiling_ = part_;
+        coldPart_ = (growBelow + shrinkAbove) / 2; // New evidence decides about the next step.
+    }
 }
 
 bool LocalityShare::covers(std::uint64_t objectHash) const
--- a/engine/src/requestengine.cpp
+++ b/engine/src/requestengine.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
+#include <numeric>
 
 namespace endivequay {
 
@@ -17,7 +19,6 @@
 
 /// Longest wait for the answer of a reserve's keeper: a round trip between regions and some loss.
 constexpr Interval tokenPatience = std::chrono::milliseconds(120);
-constexpr Interval shortestLimitRetry = std::chrono::milliseconds(100);
 
 /// Connection failures after which a request gives up; none of them reaches an upstream.
 constexpr int mostConnects = 3;
@@ -49,6 +50,14 @@
     mean = mean == 0 ? sample : mean + timeWeight * (sample - mean);
 }
 
+/// Each failure domain has at least one instance.
+std::size_t failureDomains(const InstanceIdentity &self)
+{
+    return std::transform_reduce(self.domainsByRegion.begin(), self.domainsByRegion.end(),
+        std::size_t { 0 }, std::plus {},
+        [](const auto &entry) { return static_cast<std::size_t>(entry.second); });
+}
+
 QueuePosition positionOf(Ticket ticket, int priority, bool returning, Instant waitUntil)
 {
     return { priority, !returning, waitUntil, ticket };
@@ -68,7 +77,7 @@
     : self_(std::move(self))
     , budgetLimits_(budget)
     , upstreams_(self_.id)
-    , quota_(self_.id, quota)
+    , quota_(self_.id, quota, failureDomains(self_))
 { }
 
 void RequestEngine::setTable(std::shared_ptr<const RoutingTable> table, Instant now)
@@ -99,10 +108,15 @@
     };
     domainMembers_
         = 1 + static_cast<std::size_t>(std::ranges::count(peers, self_.domain, &PeerView::domain));
-    if (ids(peers) != ids(peers_))
+    const bool membersChanged = ids(peers) != ids(peers_);
+    if (membersChanged)
         upstreams_.setPeers(peers);
     peers_ = std::move(peers);
-    rebalanceSoon(now);
+    // An instance that has just started would have the limits for itself until the next division.
+    if (membersChanged)
+        rebalance(now);
+    else
+        rebalanceSoon(now);
 }
 
 ServiceId RequestEngine::selectService(const RequestRoute &route, RouteStats &stats)
@@ -197,8 +211,7 @@
 
 Step RequestEngine::overLimit(Ticket ticket, const Request &request, Instant now)
 {
-    OwnAnswer answer { 429, AnswerCause::OverLimit,
-        std::max<Interval>(quota_.retryAfter(request.team, now), shortestLimitRetry),
+    OwnAnswer answer { 429, AnswerCause::OverLimit, quota_.retryAfter(request.team),
         quota_.describe(request.team, now) };
     return finish(ticket, answer);
 }
@@ -298,8 +311,11 @@
         ServiceState &service = services_[request.service];
         moveMean(service.meanTime, time);
         stats.warmTime.observe(time);
-        if (upstreams_.domainOf(*request.current) == self_.domain)
-            service.locality.observe(stats.warmTime.looksCold(time), domainMembers_);
+        // The first run of an object at a new home is cold whether the upstream forgets or not.
+        const bool cold = stats.warmTime.looksCold(time);
+        const bool tells = !cold || request.objectKnown;
+        if (upstreams_.domainOf(*request.current) == self_.domain && tells)
+            service.locality.observe(cold, domainMembers_);
     }
     upstreams_.finished(*request.current, end.result, relative, now);
     if (end.occupancy)
--- a/engine/src/requestplacing.cpp
+++ b/engine/src/requestplacing.cpp
@@ -9,6 +9,10 @@
 
 /// Least time between two divisions of limits and demand: their cost grows with teams and members.
 constexpr Interval rebalanceInterval = std::chrono::milliseconds(250);
+/// The same for an instance that starts. It hears more of the others with every message, and until
+/// then it refuses what they would lend it.
+constexpr Interval rebalanceIntervalAtStart = std::chrono::milliseconds(50);
+constexpr Interval startTime = std::chrono::seconds(2);
 
 /// A request waits this long for an upstream that knows its object before it goes to another one.
 /// Slots of warm upstreams become free every few milliseconds, and a cold run takes several times
@@ -73,9 +77,12 @@
 void RequestEngine::rebalance(Instant now)
 {
     rebalancePending_ = false;
-    rebalanceAt_ = now + rebalanceInterval;
     if (!table_)
         return;
+    if (startedAt_ == Instant {})
+        startedAt_ = now;
+    rebalanceAt_
+        = now + (now - startedAt_ < startTime ? rebalanceIntervalAtStart : rebalanceInterval);
     const DemandReport own = demand(now);
     quota_.rebalance(table_->document(), own, peers_, now);
     for (const ServiceSettings &service : table_->document().services)
@@ -145,10 +152,11 @@
     request.current = upstream->id;
     request.tried.push_back(upstream->id);
     request.sentAt = now;
+    request.objectKnown = upstreams_.sentLately(upstream->id, request.objectHash, now);
     ++request.sends;
     upstreams_.started(upstream->id, request.objectHash, now);
     return SendOrder { upstream->id, upstream->address, request.service, upstream->region,
-        request.team, request.finalDeadline,
+        upstream->domain, request.team, request.finalDeadline,
         request.route->repeatability == Repeatability::Idempotent, request.sends };
 }
 
--- a/engine/src/upstreamset.cpp
+++ b/engine/src/upstreamset.cpp
@@ -322,6 +322,12 @@
     return state == nullptr ? std::nullopt : std::optional(state->entry.domain);
 }
 
+bool UpstreamSet::sentLately(const UpstreamId &id, std::uint64_t objectHash, Instant now) const
+{
+    const State *state = find(id);
+    return state != nullptr && knows(*state, objectHash, now);
+}
+
 bool UpstreamSet::serves(const ServiceId &service, const RegionId &region, Instant now) const
 {
     const auto found = services_.find(service);
--- /dev/null
+++ b/engine/test/fleetquota_test.cpp
@@ -0,0 +1,446 @@
+#include "proptest.h"
+
+#include "engine_fixture.h"
+
+#include <deque>
+#include <numeric>
+#include <set>
+
+using namespace endivequay;
+using namespace endivequay::test;
+
+TEST_GROUP(FleetQuota) {};
+
+namespace {
+
+/// What the engine does: the own share, then the keeper of the reserve.
+bool takeOrAsk(std::vector<FleetQuota> &quotas, std::size_t self, Instant now)
+{
+    const TeamId team("t");
+    if (quotas[self].tryTake(team, now))
+        return true;
+    const auto request = quotas[self].ask(team, now);
+    if (!request)
+        return false;
+    FleetQuota &keeper = quotas[static_cast<std::size_t>(std::stoi(request->keeper.value()))];
+    quotas[self].granted(request->team, keeper.grant(request->team, request->count, now), now);
+    return quotas[self].tryTake(team, now);
+}
+
+RoutingDocument limited(double rate, double burst)
+{
+    RoutingDocument source = document();
+    source.teams = { { TeamId("t"), { "k" }, {}, RequestRate(rate), RequestCount(burst), {} } };
+    return source;
+}
+
+} // namespace
+
+// Guards against shares that add up to more than the limit when all members agree.
+TEST(FleetQuota, SharesOfAgreeingMembersAddUpToOne)
+{
+    const auto property = [](const std::vector<std::uint8_t> &demands) {
+        RC_PRE(!demands.empty());
+        const double fleet = std::accumulate(demands.begin(), demands.end(), 0.0);
+        double sum = 0;
+        for (const std::uint8_t demand : demands)
+            sum += fleetShare(demand, fleet, demands.size(), 0);
+        RC_ASSERT(std::abs(sum - 1) < 1e-9);
+    };
+    CHECK_PROPERTY("shares of agreeing members add up to one", property);
+}
+
+// Guards against excess while two halves of the fleet cannot hear each other.
+TEST(FleetQuota, SharesOfPartitionedMembersStayWithinOne)
+{
+    const double half = fleetShare(5, 10, 3, 3) + fleetShare(5, 10, 3, 3) + fleetShare(0, 10, 3, 3);
+    DOUBLES_EQUAL(0.5, half, 1e-9);
+    DOUBLES_EQUAL(0.25, fleetShare(100, 100, 1, 3), 1e-9);
+}
+
+// Guards against a team that gets more than rate and burst with the tolerance in any window.
+TEST(FleetQuota, AdmissionsStayWithinRateBurstAndTolerance)
+{
+    constexpr double rate = 40;
+    constexpr double burst = 40;
+    constexpr std::size_t members = 8;
+    const QuotaTolerance tolerance { 0.1, 20, 5s };
+    std::vector<FleetQuota> quotas;
+    for (std::size_t i = 0; i < members; ++i)
+        quotas.emplace_back(InstanceId(std::to_string(i)), tolerance);
+    std::vector<DemandMeter> meters(members);
+    const RoutingDocument source = limited(rate, burst);
+    std::vector<Instant> admitted;
+    Instant now = epoch;
+    std::uint64_t random = 1;
+    for (int step = 0; step < 4000; ++step) {
+        now += 5ms;
+        if (step % 100 == 0) {
+            std::vector<DemandReport> reports;
+            for (DemandMeter &meter : meters)
+                reports.push_back(meter.report(now));
+            for (std::size_t self = 0; self < members; ++self) {
+                std::vector<PeerView> peers;
+                for (std::size_t i = 0; i < members; ++i)
+                    if (i != self)
+                        peers.push_back({ InstanceId(std::to_string(i)), {}, {}, reports[i], now });
+                quotas[self].rebalance(source, reports[self], peers, now);
+            }
+        }
+        // Eight times the rate, on instances that change every second.
+        for (int i = 0; i < 2; ++i) {
+            random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+            const std::size_t self = (random >> 33) % 3 + static_cast<std::size_t>(step / 200) % 5;
+            meters[self].arrived(TeamId("t"), ServiceId("web"), now);
+            if (takeOrAsk(quotas, self, now))
+                admitted.push_back(now);
+        }
+    }
+    const double allowed = (rate * 5 + burst) * 1.1 + 20;
+    for (std::size_t first = 0, last = 0; first < admitted.size(); ++first) {
+        while (last < admitted.size() && admitted[last] < admitted[first] + 5s)
+            ++last;
+        CHECK(static_cast<double>(last - first) <= allowed);
+    }
+    // An equal split would admit the parts of the three instances that are asked.
+    CHECK(static_cast<double>(admitted.size()) >= rate * 20 * 3 / members);
+}
+
+// Guards against wrongful refusals of small teams, whose share per instance is below one request.
+TEST(FleetQuota, SmallTeamWithinItsRateIsNotRefusedByChance)
+{
+    constexpr std::size_t members = 12;
+    std::vector<FleetQuota> quotas;
+    for (std::size_t i = 0; i < members; ++i)
+        quotas.emplace_back(InstanceId(std::to_string(i)), QuotaTolerance { 0.1, 20, 5s });
+    std::vector<DemandMeter> meters(members);
+    const RoutingDocument source = limited(16, 16);
+    Instant now = epoch;
+    std::uint64_t random = 7;
+    int refused = 0;
+    int arrived = 0;
+    for (int step = 0; step < 6000; ++step) {
+        now += 5ms;
+        if (step % 100 == 0) {
+            std::vector<DemandReport> reports;
+            for (DemandMeter &meter : meters)
+                reports.push_back(meter.report(now));
+            for (std::size_t self = 0; self < members; ++self) {
+                std::vector<PeerView> peers;
+                for (std::size_t i = 0; i < members; ++i)
+                    if (i != self)
+                        peers.push_back({ InstanceId(std::to_string(i)), {}, {}, reports[i], now });
+                quotas[self].rebalance(source, reports[self], peers, now);
+            }
+        }
+        random = random * 6364136223846793005ULL + 1442695040888963407ULL;
+        if (static_cast<double>(random >> 40) / (1 << 24) >= 0.05)
+            continue; // Ten requests a second, five eighths of the rate.
+        ++arrived;
+        const std::size_t self = (random >> 20) % members;
+        meters[self].arrived(TeamId("t"), ServiceId("web"), now);
+        refused += takeOrAsk(quotas, self, now) ? 0 : 1;
+    }
+    CHECK(arrived > 200);
+    // The brief's bound on wrongful refusals while instances rotate.
+    CHECK(refused <= arrived / 100);
+}
+
+// Guards against a refusal for a limit while the reserve still has tokens, and against requests
+// that wait for a keeper that never answers.
+TEST(FleetQuota, RequestsAskTheKeeperBeforeTheyAreRefused)
+{
+    EngineFixture f;
+    RoutingDocument source = limited(10, 1);
+    source.keysRequired = true;
+    f.start(source, { upstream("u1", "west", 500) });
+    std::vector<PeerView> peers;
+    for (int i = 0; i < 20; ++i)
+        peers.push_back({ InstanceId("p" + std::to_string(i)), FailureDomainId("west-a"),
+            RegionId("west"), {}, f.now });
+    f.engine.setPeers(peers, f.now);
+    f.now += 300ms;
+    f.engine.advance(f.now);
+    RequestFacts facts = f.facts("/view/1");
+    facts.key = "k";
+    Ticket ticket = 100;
+    Step step = KeepWaiting {};
+    do {
+        step = f.engine.arrive(++ticket, facts, f.now);
+    } while (sent(step) != nullptr);
+    CHECK(std::holds_alternative<KeepWaiting>(step));
+    const auto requests = f.engine.takeTokenRequests();
+    LONGS_EQUAL(1, requests.size());
+    const auto granted = f.engine.tokensGranted(requests[0].team, 1, f.now);
+    LONGS_EQUAL(1, granted.size());
+    CHECK(sent(granted[0].second) != nullptr);
+    // The keeper has nothing more.
+    f.engine.arrive(++ticket, facts, f.now);
+    const auto refused = f.engine.tokensGranted(requests[0].team, 0, f.now);
+    LONGS_EQUAL(429, answered(refused[0].second)->status);
+    // The keeper is silent.
+    f.now += 100ms;
+    f.engine.arrive(++ticket, facts, f.now);
+    f.now += 120ms;
+    const auto late = f.engine.advance(f.now);
+    LONGS_EQUAL(1, late.size());
+    LONGS_EQUAL(429, answered(late[0].second)->status);
+}
+
+// Guards against a reserve that is granted once by a keeper that dies, again by the next one, and
+// again by the first after its restart.
+TEST(FleetQuota, KeeperThatTakesOverBeginsWithNothing)
+{
+    constexpr int members = 20;
+    RoutingDocument source;
+    source.teams = { { TeamId("t"), { "k" }, {}, RequestRate(20), RequestCount(20), {} } };
+    Instant now = epoch;
+    const auto nameOf = [](int i) { return InstanceId("i" + std::to_string(i)); };
+    std::vector<FleetQuota> quotas;
+    for (int i = 0; i < members; ++i)
+        quotas.emplace_back(nameOf(i), QuotaTolerance { 0.1, 20, 5s });
+    std::optional<InstanceId> dead;
+    const auto rebalance = [&] {
+        for (int i = 0; i < members; ++i) {
+            std::vector<PeerView> peers;
+            for (int j = 0; j < members; ++j)
+                if (j != i)
+                    peers.push_back({ nameOf(j), {}, {}, {}, nameOf(j) == dead ? now - 10s : now });
+            quotas[i].rebalance(source, {}, peers, now);
+        }
+    };
+    const DemandKey team = demandKey(TeamId("t"));
+    const auto grants = [&] {
+        std::vector<int> granted;
+        for (FleetQuota &quota : quotas)
+            granted.push_back(quota.grant(team, 1000, now));
+        return granted;
+    };
+    rebalance();
+    now += 10s;
+    rebalance();
+    const auto atFirst = grants();
+    const auto keeper = std::ranges::max_element(atFirst) - atFirst.begin();
+    CHECK(atFirst[keeper] > 10);
+    dead = nameOf(static_cast<int>(keeper));
+    rebalance();
+    for (int i = 0; i < members; ++i)
+        LONGS_EQUAL(0, i == keeper ? 0 : quotas[i].grant(team, 1000, now));
+    quotas[keeper] = FleetQuota(*dead, QuotaTolerance { 0.1, 20, 5s });
+    dead.reset();
+    rebalance();
+    const auto afterRestart = grants();
+    LONGS_EQUAL(0, *std::ranges::max_element(afterRestart));
+    now += 1s;
+    const auto refilled = grants();
+    CHECK(*std::ranges::max_element(refilled) > 10); // About the rate.
+}
+
+namespace {
+
+/// A fleet under one limited team, with reports that take time. Instances may all restart.
+class LimitPlay
+{
+public:
+    LimitPlay(std::size_t members, double rate, double burst)
+        : source_(limited(rate, burst))
+        , allowed_((rate * 5 + burst) * 1.1 + 20)
+        , members_(members)
+    {
+        restartAll();
+    }
+
+    void restartAll()
+    {
+        quotas_.clear();
+        for (std::size_t i = 0; i < members_; ++i)
+            quotas_.emplace_back(InstanceId(std::to_string(i)), QuotaTolerance { 0.1, 20, 5s });
+        meters_ = std::vector<DemandMeter>(members_);
+        reports_.assign(members_, { {}, epoch - 1h });
+        pending_.clear();
+    }
+
+    /// Callers send \a perSecond requests to all instances alike.
+    void play(Interval length, double perSecond)
+    {
+        const Instant end = now_ + length;
+        double due = 0;
+        for (; now_ < end; now_ += 5ms, ++step_) {
+            deliver();
+            if (step_ % 50 == 0)
+                for (std::size_t self = 0; self < members_; ++self)
+                    quotas_[self].rebalance(
+                        source_, meters_[self].report(now_), peersOf(self), now_);
+            for (due += perSecond * 0.005; due >= 1; due -= 1)
+                ask();
+        }
+    }
+
+    /// Most admissions in any window, as a part of what is allowed.
+    double mostOfAllowed() const
+    {
+        std::ptrdiff_t most = 0;
+        for (auto first = admitted_.begin(); first != admitted_.end(); ++first)
+            most = std::max(most, std::ranges::lower_bound(admitted_, *first + 5s) - first);
+        return static_cast<double>(most) / allowed_;
+    }
+    std::size_t admitted() const { return admitted_.size(); }
+
+private:
+    struct Report
+    {
+        DemandReport demand;
+        Instant heardAt;
+    };
+
+    /// Beat, digest and two hops of a large fleet; heartbeats to other regions of a small one.
+    Interval reportDelay() const { return members_ > 16 ? 900ms : 50ms; }
+
+    void deliver()
+    {
+        if (step_ % 200 == 0) {
+            std::vector<Report> sentNow;
+            for (DemandMeter &meter : meters_)
+                sentNow.push_back({ meter.report(now_), now_ + reportDelay() });
+            pending_.push_back(std::move(sentNow));
+        }
+        while (!pending_.empty() && pending_.front().front().heardAt <= now_) {
+            reports_ = std::move(pending_.front());
+            pending_.pop_front();
+        }
+    }
+
+    std::vector<PeerView> peersOf(std::size_t self) const
+    {
+        std::vector<PeerView> peers;
+        for (std::size_t i = 0; i < members_; ++i)
+            if (i != self)
+                peers.push_back({ InstanceId(std::to_string(i)), {}, {}, reports_[i].demand,
+                    reports_[i].heardAt });
+        return peers;
+    }
+
+    void ask()
+    {
+        random_ = random_ * 6364136223846793005ULL + 1442695040888963407ULL;
+        const std::size_t self = (random_ >> 33) % members_;
+        meters_[self].arrived(TeamId("t"), ServiceId("web"), now_);
+        if (takeOrAsk(quotas_, self, now_))
+            admitted_.push_back(now_);
+    }
+
+    RoutingDocument source_;
+    double allowed_;
+    std::size_t members_;
+    std::vector<FleetQuota> quotas_;
+    std::vector<DemandMeter> meters_;
+    std::vector<Report> reports_;
+    std::deque<std::vector<Report>> pending_;
+    std::vector<Instant> admitted_;
+    Instant now_ = epoch;
+    int step_ = 0;
+    std::uint64_t random_ = 1;
+};
+
+} // namespace
+
+// Guards against instances that weigh their own new demand against old reports of the others: after
+// a restart of all, each one took most of the limit for itself until the reports came.
+TEST(FleetQuota, LimitHoldsWhileAllInstancesRestartUnderLoad)
+{
+    for (const std::size_t members : { 8, 90 }) {
+        LimitPlay play(members, 300, 300);
+        play.play(8s, 300 * 4.3);
+        play.restartAll();
+        play.play(8s, 300 * 4.3);
+        CHECK_TRUE(play.mostOfAllowed() <= 1);
+        // Most of what the limit allows is granted.
+        CHECK_TRUE(static_cast<double>(play.admitted()) >= 0.85 * 300 * 16);
+    }
+}
+
+// Guards against the same at the start of a surge on instances that have been running.
+TEST(FleetQuota, LimitHoldsAtTheStartOfASurge)
+{
+    for (const std::size_t members : { 8, 90 }) {
+        LimitPlay play(members, 300, 300);
+        play.play(8s, 60);
+        play.play(8s, 300 * 8);
+        CHECK_TRUE(play.mostOfAllowed() <= 1);
+        CHECK_TRUE(static_cast<double>(play.admitted()) >= 0.85 * (60 * 8 + 300 * 8));
+    }
+}
+
+// Guards against instances that took themselves for the whole fleet for the first quarter of a
+// second after they had read the configuration: each granted half of the limit.
+TEST(FleetQuota, StartingInstanceHasNoMoreThanItsShare)
+{
+    EngineFixture f;
+    RoutingDocument source = limited(500, 500);
+    source.keysRequired = true;
+    f.start(source, { upstream("u1", "west", 500) });
+    std::vector<PeerView> peers;
+    for (int i = 0; i < 89; ++i)
+        peers.push_back({ InstanceId("p" + std::to_string(i)), FailureDomainId("west-a"),
+            RegionId("west"), {}, epoch - 1h });
+    f.engine.setPeers(peers, f.now);
+    RequestFacts facts = f.facts("/view/1");
+    facts.key = "k";
+    int admitted = 0;
+    for (Ticket ticket = 1; ticket <= 300; ++ticket)
+        admitted += sent(f.engine.arrive(ticket, facts, f.now)) != nullptr ? 1 : 0;
+    CHECK(admitted <= (500 * 5 + 500) / 90);
+}
+
+// Guards against a restart of all after which each instance takes itself for the keeper of all
+// reserves, has almost nothing to grant and refuses teams that are within their limits.
+TEST(FleetQuota, RestartedInstancesAgreeOnTheKeeperBeforeTheyHearEachOther)
+{
+    constexpr int members = 20;
+    std::set<InstanceId> keepers;
+    for (int self = 0; self < members; ++self) {
+        std::vector<PeerView> peers;
+        for (int i = 0; i < members; ++i)
+            if (i != self)
+                peers.push_back(
+                    { InstanceId(std::to_string(i)), {}, {}, {}, epoch - 1h, epoch - 100ms });
+        FleetQuota quota(InstanceId(std::to_string(self)), QuotaTolerance { 0.1, 20, 5s });
+        quota.rebalance(limited(20, 20), {}, peers, epoch);
+        const auto request = quota.ask(TeamId("t"), epoch);
+        keepers.insert(request ? request->keeper : InstanceId(std::to_string(self)));
+        // Nobody was heard, so the keeper has one part of the reserve.
+        quota.rebalance(limited(20, 20), {}, peers, epoch + 1s);
+        CHECK(quota.grant(demandKey(TeamId("t")), 100, epoch + 1s) <= 100 / members);
+    }
+    LONGS_EQUAL(1, keepers.size());
+}
+
+// Guards against a refused request that is told to come back after minutes, because the share of
+// its instance is a hundredth of a request, and against a team far beyond its limit whose callers
+// come back at once.
+TEST(FleetQuota, RetryTimeFollowsTheDemandOnTheFleet)
+{
+    std::vector<PeerView> peers;
+    for (int i = 0; i < 89; ++i)
+        peers.push_back({ InstanceId("p" + std::to_string(i)), {}, {}, {}, epoch });
+    FleetQuota quota(InstanceId("self"), QuotaTolerance { 0.1, 20, 5s });
+    quota.rebalance(limited(20, 20), {}, peers, epoch);
+    while (quota.tryTake(TeamId("t"), epoch))
+        ;
+    CHECK(quota.retryAfter(TeamId("t")) <= 500ms);
+    peers[0].demand = DemandReport { { demandKey(TeamId("t")), 20 * 4.0 } };
+    quota.rebalance(limited(20, 20), {}, peers, epoch + 250ms);
+    CHECK(quota.retryAfter(TeamId("t")) >= 2s);
+}
+
+// Guards against the same while the store has lost the registrations: no member is known.
+TEST(FleetQuota, InstanceThatKnowsNoMemberCountsOneForEachDomain)
+{
+    FleetQuota alone(InstanceId("i1"), QuotaTolerance { 0.1, 20, 5s }, 6);
+    alone.rebalance(limited(500, 500), {}, {}, epoch);
+    int admitted = 0;
+    while (alone.tryTake(TeamId("t"), epoch))
+        ++admitted;
+    CHECK(admitted <= (500 * 5 + 500) / 6);
+    CHECK(admitted > 0);
+}
--- a/gateway/include/endivequay/entrynode.h
+++ b/gateway/include/endivequay/entrynode.h
@@ -136,6 +136,7 @@
     std::map<Address, Instant>
         silentSources_; ///< Peers that did not hand over their state, until when.
     Instant startedAt_;
+    bool introduced_ = false; ///< Peers hear of this instance with its first state.
     bool newsForRegion_ = false; ///< The next beat goes to the whole region.
     bool asking_ = false;
     bool stopping_ = false;
--- a/gateway/include/endivequay/peers.h
+++ b/gateway/include/endivequay/peers.h
@@ -23,6 +23,7 @@
     bool leaving = false;
     Instant listedAt; ///< When it first appeared in the list of this process.
     Instant heardAt; ///< Latest heartbeat; long ago if there was none.
+    Instant messageAt; ///< Latest message that is no heartbeat.
     Revision stateAsOf;
     Instant stateConfirmedAt; ///< Local time, from the age in the heartbeat.
     DemandReport demand; ///< In a large fleet a relay has the sum of its domain, others nothing.
@@ -46,6 +47,8 @@
     void setRegistered(const std::vector<MemberRecord> &members, Instant now);
     void heard(const PeerBeat &heartbeat, Instant now);
     void heard(const DomainDigest &digest, Instant now);
+    /// A message without a report came from \a id.
+    void heardFrom(const InstanceId &id, Instant now);
     void expire(Instant now);
 
     std::vector<PeerView> views() const;
--- a/gateway/src/entrycore.cpp
+++ b/gateway/src/entrycore.cpp
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <random>
 #include <unistd.h>
+#include <utility>
 
 namespace endivequay {
 
@@ -136,6 +137,11 @@
     peers_.setRegistered(state.members, at);
     notePeerChanges(at);
     engine_.setPeers(peers_.views(), at);
+    // Peers that know at once that this instance is back divide the limits with it.
+    if (std::exchange(introduced_, true))
+        return;
+    beatAt_ = {};
+    regularBeatAt_ = {};
 }
 
 HttpMessage EntryCore::stateFor(const HttpMessage &request) const
--- a/gateway/src/entrypeers.cpp
+++ b/gateway/src/entrypeers.cpp
@@ -89,6 +89,11 @@
     const auto peer = peers_.peers().find(message.from);
     if (peer == peers_.peers().end())
         return;
+    const bool wasSilent = at - peer->second.heardAt >= FleetQuota::staleReport
+        && at - peer->second.messageAt >= FleetQuota::staleReport;
+    peers_.heardFrom(message.from, at);
+    if (wasSilent)
+        engine_.setPeers(peers_.views(), at);
     const int granted = engine_.grantTokens(message.team, message.count, at);
     heartbeats_->send(encodeTokenMessage({ true, self_.id, message.team, granted }),
         peer->second.member.heartbeats);
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -205,11 +205,11 @@
         headers_.notRun };
     exchange.call = client_.send(std::move(call),
         [this, id, mayReuse](CallEnd &&end) { ended(id, std::move(end), mayReuse); });
-    parts_.metrics.count("endivequay_sends_total", "region", order.region.value());
+    parts_.metrics.count("endivequay_sends_total", "domain", order.domain.value());
     parts_.log.write(EventId::RequestSent, {}, now,
         { { "request", exchange.requestId }, { "upstream", order.upstream.value() },
             { "service", order.service.value() }, { "team", order.team.value() },
-            { "region", order.region.value() },
+            { "region", order.region.value() }, { "domain", order.domain.value() },
             { "object", cookie(exchange.request, headers_.objectCookie) },
             { "attempt", order.attempt },
             { "in_flight", parts_.engine.upstreams().inFlight(order.upstream) },
--- a/gateway/src/peers.cpp
+++ b/gateway/src/peers.cpp
@@ -70,6 +70,12 @@
             peer.demand = id == digest.relay ? digest.demand : DemandReport {};
 }
 
+void PeerTable::heardFrom(const InstanceId &id, Instant now)
+{
+    if (const auto found = peers_.find(id); found != peers_.end())
+        found->second.messageAt = now;
+}
+
 void PeerTable::expire(Instant now)
 {
     std::erase_if(peers_, [&](const auto &entry) {
@@ -83,7 +89,7 @@
     std::ranges::transform(peers_, std::back_inserter(views), [](const auto &entry) {
         const Peer &peer = entry.second;
         return PeerView { peer.member.id, peer.member.domain, peer.member.region, peer.demand,
-            peer.heardAt };
+            std::max(peer.heardAt, peer.messageAt), peer.listedAt };
     });
     return views;
 }
@@ -91,7 +97,7 @@
 bool PeerTable::suspect(const Peer &peer, Instant now)
 {
     const Interval limit = peer.relayed ? suspectAfterRelayed : suspectAfter;
-    return now - std::max(peer.heardAt, peer.listedAt) > limit;
+    return now - std::max({ peer.heardAt, peer.messageAt, peer.listedAt }) > limit;
 }
 
 HeartbeatSocket::HeartbeatSocket(asio::io_context &loop, Received received)
--- a/gateway/test/peers_test.cpp
+++ b/gateway/test/peers_test.cpp
@@ -240,3 +240,21 @@
     const std::size_t direct = members.size() * (members.size() - 1);
     CHECK(addresses * 3 <= direct);
 }
+
+// Guards against a keeper that refuses because it has not heard the instances that ask it, and
+// against messages that hide what later digests say.
+TEST(Peers, MessagesShowThatTheirSenderLives)
+{
+    table.setRegistered({ member("p", "w-a", "w") }, now);
+    now += 5s;
+    CHECK(PeerTable::suspect(table.peers().at(InstanceId("p")), now));
+    table.heardFrom(InstanceId("p"), now);
+    CHECK_FALSE(PeerTable::suspect(table.peers().at(InstanceId("p")), now));
+    CHECK(table.views()[0].heardAt == now);
+    const MemberState leaving { InstanceId("p"), 1, 500ms, true, Revision(9), {}, {} };
+    table.heard(
+        DomainDigest { InstanceId("r"), FailureDomainId("w-a"), false, { leaving }, {} }, now);
+    CHECK(table.peers().at(InstanceId("p")).leaving);
+    table.heardFrom(InstanceId("unknown"), now);
+    LONGS_EQUAL(1, table.views().size());
+}
