gateway: decide whom to ask for state apart from sockets; ask soon after a restart

A failed question left no log line, and the list of silent sources was never pruned. None of these decisions had a test.

--- a/gateway/include/endivequay/entrynode.h
+++ b/gateway/include/endivequay/entrynode.h
@@ -5,6 +5,7 @@
 #include "endivequay/fleetrelay.h"
 #include "endivequay/gateway.h"
 #include "endivequay/statefeed.h"
+#include "endivequay/statesources.h"
 
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -104,10 +105,10 @@
     void sendDirect(const PeerBeat &heartbeat, bool regular);
     void sendThroughRelays(PeerBeat heartbeat, bool regular);
     void notePeerChanges(Instant now);
-    const Peer *stateSource(Instant now) const;
-    std::optional<Address> seedSource(Instant now) const;
-    std::optional<Address> whomToAsk(Instant now);
+    StateSources::Position position() const;
     void askForState(const Address &source, const std::function<void()> &changed);
+    void stateAnswered(const Address &source, Instant askedAt, const CallEnd &end,
+        const std::function<void()> &changed);
     void reportChanges(const ControlState &state, Instant now);
 
     EntrySettings settings_;
@@ -118,6 +119,7 @@
     Replica replica_;
     PeerTable peers_;
     FleetRelay relay_;
+    StateSources sources_;
     RequestEngine engine_;
     TrafficMetrics metrics_;
     EdgeClient stateClient_;
@@ -131,14 +133,9 @@
     Instant regularBeatAt_;
     Instant lastBeatAt_;
     std::uint64_t beats_ = 0;
-    Instant behindSince_;
-    Instant askedAt_; ///< Latest request for changes.
-    std::map<Address, Instant>
-        silentSources_; ///< Peers that did not hand over their state, until when.
     Instant startedAt_;
     bool introduced_ = false; ///< Peers hear of this instance with its first state.
     bool newsForRegion_ = false; ///< The next beat goes to the whole region.
-    bool asking_ = false;
     bool stopping_ = false;
 };
 
--- a/gateway/src/entrycore.cpp
+++ b/gateway/src/entrycore.cpp
@@ -68,6 +68,7 @@
     , log_(settings_.name.value(), STDOUT_FILENO, { settings_.logLinesPerSecond })
     , peers_(settings_.name)
     , relay_(self_, peers_)
+    , sources_(self_, settings_.seeds, settings_.firstStart, peers_, relay_)
     , engine_({ settings_.name, settings_.domain, settings_.region, countDomains(settings_) },
           settings_.budget, settings_.quota)
     , stateClient_(loop, {}, [this] { return now(); })
--- a/gateway/src/entrypeers.cpp
+++ b/gateway/src/entrypeers.cpp
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <tuple>
 
 // What an entry instance tells its peers and takes from them: heartbeats, digests, tokens, state.
 namespace endivequay {
@@ -13,14 +12,6 @@
 /// Interval of heartbeats. Limits follow a shift of demand within about two of them.
 constexpr Interval beatInterval = std::chrono::milliseconds(500);
 
-/// A peer must be ahead for this long before it is asked: the store's own news takes as long.
-constexpr Interval behindTolerance = std::chrono::milliseconds(300);
-constexpr Interval behindToleranceOfFollower = std::chrono::milliseconds(10);
-
-/// A peer that did not hand over its state is not asked again for this long: about the time until
-/// it is suspected.
-constexpr Interval silentSourceTime = std::chrono::milliseconds(2500);
-
 /// A peer whose store answered within this time is followed; the store's clients wait 1.5 s for an
 /// answer.
 constexpr Interval freshSource = std::chrono::milliseconds(3500);
@@ -35,14 +26,6 @@
 /// State age that an instance reports if it does not follow the store.
 constexpr Interval noSource = std::chrono::hours(24);
 
-/// Least time between two requests for changes. A series of configurations comes ten times a
-/// second; each is a whole document, and every instance must have the last within seconds.
-constexpr Interval askInterval = std::chrono::milliseconds(250);
-
-/// Longest wait for a peer's state: of a starting instance, which needs all of it, and of others.
-constexpr Interval askTimeout = std::chrono::seconds(1);
-constexpr Interval askTimeoutForChanges = std::chrono::milliseconds(500);
-
 /// Heartbeats to other regions go out with every second beat, because bytes between regions cost
 /// most and what they say matters less.
 constexpr std::uint64_t remoteBeats = 2;
@@ -113,8 +96,8 @@
 {
     const Instant at = now();
     peers_.heard(heartbeat, at);
-    if (heartbeat.stateAsOf > replica_.asOf() && behindSince_ == Instant {})
-        behindSince_ = at;
+    if (heartbeat.stateAsOf > replica_.asOf())
+        sources_.behind(at);
 }
 
 void EntryCore::heard(const DomainDigest &digest)
@@ -125,8 +108,8 @@
     peers_.heard(digest, at);
     const bool ahead = std::ranges::any_of(digest.members,
         [&](const MemberState &state) { return state.stateAsOf > replica_.asOf(); });
-    if (ahead && behindSince_ == Instant {})
-        behindSince_ = at;
+    if (ahead)
+        sources_.behind(at);
     if (digest.forwarded)
         return;
     DomainDigest copy = digest;
@@ -232,95 +215,60 @@
     newsForRegion_ = false;
 }
 
-const Peer *EntryCore::stateSource(Instant now) const
-{
-    const Peer *best = nullptr;
-    // Bytes between failure domains and between regions cost most.
-    const auto rank = [&](const Peer &peer) {
-        return std::tuple(
-            peer.member.domain == self_.domain, peer.member.region == self_.region, peer.stateAsOf);
-    };
-    for (const auto &[id, peer] : peers_.peers()) {
-        const auto silent = silentSources_.find(peer.member.control);
-        if (peer.stateAsOf > replica_.asOf() && !PeerTable::suspect(peer, now)
-            && (silent == silentSources_.end() || silent->second <= now)
-            && (best == nullptr || rank(peer) > rank(*best)))
-            best = &peer;
-    }
-    return best;
-}
-
-std::optional<Address> EntryCore::seedSource(Instant now) const
+StateSources::Position EntryCore::position() const
 {
-    if (replica_.loaded() || settings_.seeds.empty())
-        return std::nullopt;
-    // A start without the store: one of the seeds may know the state.
-    const auto tick = static_cast<std::size_t>(now.time_since_epoch() / askTimeout);
-    const Address &seed = settings_.seeds[tick % settings_.seeds.size()];
-    return seed == settings_.control ? std::nullopt : std::optional(seed);
-}
-
-std::optional<Address> EntryCore::whomToAsk(Instant now)
-{
-    const Interval behind = now - behindSince_;
-    const bool follows = replica_.loaded() && relay_.isLarge();
-    if (behind < (follows ? behindToleranceOfFollower : behindTolerance)
-        || (follows && now - askedAt_ < askInterval))
-        return std::nullopt;
-    const Peer *peer = stateSource(now);
-    if (peer == nullptr) {
-        behindSince_ = replica_.loaded() ? Instant {} : now;
-        return seedSource(now);
-    }
-    // A relay of the domain fetches the news for its members; if it fails they do so themselves.
-    const bool leftToRelay = follows && peer->member.domain != self_.domain
-        && behind < behindTolerance && !relay_.isRelay(now);
-    return leftToRelay ? std::nullopt : std::optional(peer->member.control);
+    return { replica_.loaded(), replica_.asOf() };
 }
 
 void EntryCore::askPeers(const std::function<void()> &changed)
 {
     const Instant at = now();
-    if (!replica_.loaded() && behindSince_ == Instant {})
-        behindSince_ = at;
-    if (asking_ || behindSince_ == Instant {})
-        return;
-    if (const auto source = whomToAsk(at))
+    if (!replica_.loaded())
+        sources_.behind(at);
+    if (const auto source = sources_.next(position(), at))
         askForState(*source, changed);
 }
 
 void EntryCore::askForState(const Address &source, const std::function<void()> &changed)
 {
     const Instant at = now();
-    asking_ = true;
-    askedAt_ = at;
     HttpMessage request;
     request.method = "GET";
     request.target = fmt::format("/v1/state?after={}", replica_.asOf().value());
     request.fields.push_back({ "Host", source.value() });
-    const Instant deadline = at + (replica_.loaded() ? askTimeoutForChanges : askTimeout);
-    HttpCall call { source, serializeRequest(request), deadline, true, false, {}, {}, {} };
+    HttpCall call { source, serializeRequest(request), sources_.asked(position(), at), true, false,
+        {}, {}, {} };
     stateClient_.send(std::move(call), [this, at, peer = source, changed](CallEnd &&end) {
-        asking_ = false;
-        if (end.kind != CallEnd::Kind::Response || end.response.status != 200) {
-            // Another peer may be ahead as well; it is asked with the next tick.
-            silentSources_[peer] = now() + silentSourceTime;
-            return;
-        }
-        behindSince_ = {};
-        silentSources_.erase(peer);
-        const auto update = decodeUpdate(end.response.body, at);
-        if (!update) {
-            log_.write(EventId::PeerMessageRejected, update.lastReason().reason, now(),
-                { { "peer", peer.value() }, { "reason", update.lastReason().reason } });
-            return;
-        }
-        log_.write(EventId::StateFromPeer, peer.value(), now(),
-            { { "peer", peer.value() }, { "from", replica_.asOf().value() },
-                { "to", update->asOf.value() }, { "items", update->items.size() } });
-        if (replica_.apply(*update))
-            changed();
+        stateAnswered(peer, at, end, changed);
     });
 }
 
+void EntryCore::stateAnswered(const Address &source, Instant askedAt, const CallEnd &end,
+    const std::function<void()> &changed)
+{
+    const auto rejected = [&](const std::string &reason) {
+        log_.write(EventId::PeerMessageRejected, reason, now(),
+            { { "peer", source.value() }, { "reason", reason } });
+    };
+    if (end.kind != CallEnd::Kind::Response || end.response.status != 200) {
+        // Another peer may be ahead as well; it is asked with the next tick.
+        sources_.failed(source, now());
+        rejected(end.kind == CallEnd::Kind::Response
+                ? fmt::format("state refused with status {}", end.response.status)
+                : end.reason);
+        return;
+    }
+    sources_.answered(source);
+    const auto update = decodeUpdate(end.response.body, askedAt);
+    if (!update) {
+        rejected(update.lastReason().reason);
+        return;
+    }
+    log_.write(EventId::StateFromPeer, source.value(), now(),
+        { { "peer", source.value() }, { "from", replica_.asOf().value() },
+            { "to", update->asOf.value() }, { "items", update->items.size() } });
+    if (replica_.apply(*update))
+        changed();
+}
+
 } // namespace endivequay
