engine: shares of the regions follow at once before the first request

Cause: the upstreams of the regions register one after the other. Change: shares are adopted at once until the first request is placed.

--- a/engine/include/endivequay/placement.h
+++ b/engine/include/endivequay/placement.h
@@ -38,15 +38,17 @@
     /// of 0.15 per two seconds; the rest is left to sampling and to requests that find no room.
     static constexpr double changePerSecond = 0.025;
 
-    /// Moves the shares toward \a target. The first target is adopted at once.
+    /// Moves the shares toward \a target. Until the first request it is adopted at once: the
+    /// upstreams of the regions register one after the other, and no request changes its region.
     void follow(const PlacementShares &target, Instant now);
     /// The region for an object; the same one as long as the shares do not change.
-    std::optional<RegionId> regionOf(std::uint64_t objectHash) const;
+    std::optional<RegionId> regionOf(std::uint64_t objectHash);
     const PlacementShares &shares() const { return shares_; }
 
 private:
     PlacementShares shares_;
     Instant updatedAt_;
+    bool used_ = false; ///< A request was placed.
 };
 
 /// Time of a route's attempts at upstreams that know the object. Not thread safe.
--- a/engine/src/placement.cpp
+++ b/engine/src/placement.cpp
@@ -53,7 +53,7 @@
 
 void Placement::follow(const PlacementShares &target, Instant now)
 {
-    if (shares_.empty()) {
+    if (!used_) {
         shares_ = target;
         updatedAt_ = now;
         return;
@@ -78,8 +78,9 @@
     shares_ = std::move(next);
 }
 
-std::optional<RegionId> Placement::regionOf(std::uint64_t objectHash) const
+std::optional<RegionId> Placement::regionOf(std::uint64_t objectHash)
 {
+    used_ = used_ || !shares_.empty();
     double point = unitInterval(objectHash);
     for (const auto &[region, share] : shares_) {
         if (point < share)
--- a/engine/test/limits_test.cpp
+++ b/engine/test/limits_test.cpp
@@ -170,6 +170,7 @@
     Placement placement;
     Instant now = epoch;
     placement.follow({ { RegionId("a"), 1 } }, now);
+    CHECK(placement.regionOf(1) == RegionId("a"));
     for (int i = 0; i < 4; ++i) {
         now += 500ms;
         placement.follow({ { RegionId("b"), 1 } }, now);
@@ -178,6 +179,16 @@
     CHECK(placement.shares().at(RegionId("b")) > 0);
 }
 
+// Guards against an instance that keeps its first shares, made when only the upstreams of its own
+// region had registered, and follows the others over a minute of full load.
+TEST(Placement, SharesFollowAtOnceBeforeTheFirstRequest)
+{
+    Placement placement;
+    placement.follow({ { RegionId("a"), 1 } }, epoch);
+    placement.follow({ { RegionId("a"), 0.2 }, { RegionId("b"), 0.8 } }, epoch + 500ms);
+    DOUBLES_EQUAL(0.8, placement.shares().at(RegionId("b")), 1e-9);
+}
+
 TEST_GROUP(LocalityShare) {};
 TEST_GROUP(WarmTime) {};
 
--- a/engine/test/load_test.cpp
+++ b/engine/test/load_test.cpp
@@ -50,6 +50,33 @@
     }
 }
 
+// Guards against many instances that share a few upstreams and each see only their own requests
+// there: in-flight requests were three times the slots, waited at the upstreams and timed out.
+// Targets: at most one request in fifty ends at its time limit, and the region with few upstreams
+// gets three quarters of what the others get.
+TEST(Load, ManyInstancesDoNotOverfillAFewUpstreams)
+{
+    LoadPlan plan;
+    plan.instancesPerDomain = 16;
+    plan.upstreamsPerDomain = { 18, 4, 18 };
+    plan.cache = 30;
+    plan.objectsPerRegion = 120;
+    plan.coldTime = 1.1;
+    plan.warmTime = 0.33;
+    plan.objective = 800ms;
+    plan.timeout = 1500ms;
+    plan.callerTime = 5s;
+    plan.ratePerDomain = 140;
+    plan.lead = 8s;
+    for (const unsigned seed : seeds) {
+        const LoadOutcome outcome = play(plan, seed);
+        fmt::print("  regions {:.3f} {:.3f} {:.3f}\n", outcome.inObjectivePart(0),
+            outcome.inObjectivePart(1), outcome.inObjectivePart(2));
+        CHECK(outcome.failed <= outcome.asked / 50);
+        CHECK(outcome.inObjectivePart(1) >= 0.75 * outcome.inObjectivePart(0));
+    }
+}
+
 // Guards against domains whose upstreams forget objects because they hold a copy of all. Target: at
 // most a tenth of the requests miss their objective for it, against one domain with all upstreams.
 TEST(Load, SmallCachesAreNotSharedByTwoDomains)
--- a/engine/test/loadplay.h
+++ b/engine/test/loadplay.h
@@ -24,8 +24,11 @@
     double coldTime = 0.4; ///< Seconds of work for an object that the upstream does not know.
     double warmTime = 0.12;
     Interval objective = 300ms;
+    Interval timeout = 800ms; ///< Of the route.
+    Interval callerTime = 2s; ///< That callers allow.
     double ratePerDomain = 80; ///< Requests per second.
     Interval length = 20s;
+    Interval lead {}; ///< Before the first request; the upstreams of other regions register in it.
 };
 
 /// What the callers got.
@@ -39,7 +42,13 @@
     int crossedDomains = 0; ///< Attempts at an upstream of another domain of the region.
     int attempts = 0;
     int coldRuns = 0;
+    std::map<int, int> askedByRegion;
+    std::map<int, int> inObjectiveByRegion;
 
+    double inObjectivePart(int region) const
+    {
+        return static_cast<double>(inObjectiveByRegion.at(region)) / askedByRegion.at(region);
+    }
     double inObjectivePart() const { return static_cast<double>(inObjective) / asked; }
     double crossedPart() const { return static_cast<double>(crossedDomains) / attempts; }
 };
@@ -55,6 +64,7 @@
     {
         RoutingDocument source = document();
         source.routes[0].objective = plan_.objective;
+        source.routes[0].timeout = plan_.timeout;
         source.routes[0].priority = 2;
         std::vector<UpstreamEntry> entries;
         for (int region = 0; region < plan_.regions; ++region)
@@ -74,18 +84,21 @@
                             domainId(region, domain), regionId(region), domains },
                         region }));
                     instances_.back()->engine.setTable(table(source), now_);
-                    instances_.back()->engine.setUpstreams(entries, {}, now_);
+                    setUpstreams(*instances_.back(), plan_.lead > Interval {});
                 }
     }
 
     LoadOutcome run()
     {
-        for (const auto &instance : instances_)
-            schedule(now_ + gap(), [this, at = instance.get()] { arrival(*at); });
+        for (const auto &instance : instances_) {
+            schedule(epoch + gap(), [this, at = instance.get()] { arrival(*at); });
+            schedule(
+                now_ + plan_.lead / 8, [this, at = instance.get()] { setUpstreams(*at, false); });
+        }
         schedule(now_, [this] { exchangeReports(); });
         schedule(now_, [this] { tick(); });
         const Instant end = epoch + plan_.length;
-        while (!events_.empty() && events_.top().at <= end + 3s) {
+        while (!events_.empty() && events_.top().at <= end + plan_.callerTime) {
             const Event event = events_.top();
             events_.pop();
             now_ = event.at;
@@ -152,6 +165,15 @@
         return entry;
     }
 
+    void setUpstreams(Instance &instance, bool ownRegionOnly)
+    {
+        std::vector<UpstreamEntry> entries;
+        for (const auto &[id, target] : upstreams_)
+            if (!ownRegionOnly || target.entry.region == instance.identity.region)
+                entries.push_back(target.entry);
+        instance.engine.setUpstreams(entries, {}, now_);
+    }
+
     void schedule(Instant at, std::function<void()> action)
     {
         events_.push({ at, nextEvent_++, std::move(action) });
@@ -171,6 +193,7 @@
         callers_.push_back(
             { now_, std::to_string(instance.region * plan_.objectsPerRegion + number), false });
         ++outcome_.asked;
+        ++outcome_.askedByRegion[instance.region];
         ask(instance, static_cast<int>(callers_.size()) - 1);
         schedule(now_ + gap(), [this, &instance] { arrival(instance); });
     }
@@ -180,7 +203,7 @@
         const Ticket ticket = nextTicket_++;
         instance.callers[ticket] = caller;
         const RequestFacts facts { "shop.example", "/view/", {}, callers_[caller].object,
-            callers_[caller].askedAt + 2s };
+            callers_[caller].askedAt + plan_.callerTime };
         carryOut(instance, ticket, instance.engine.arrive(ticket, facts, now_));
     }
 
@@ -210,6 +233,7 @@
             instance.callers.erase(ticket);
             const bool inTime = now_ - callers_[caller].askedAt <= plan_.objective;
             ++(inTime ? outcome_.inObjective : outcome_.late);
+            outcome_.inObjectiveByRegion[instance.region] += inTime ? 1 : 0;
         }
     }
 
@@ -297,7 +321,7 @@
 
     LoadPlan plan_;
     std::mt19937 random_;
-    Instant now_ = epoch;
+    Instant now_ = epoch - plan_.lead;
     std::vector<std::unique_ptr<Instance>> instances_;
     std::map<UpstreamId, Upstream> upstreams_;
     std::vector<Caller> callers_;
