gateway: repeat a watch that the store took while it was silent

Cause: during a silent outage the store takes a watch and never answers it. Ruled out: stale reads (the reads are linearizable), the lost history (no 410 came), the relays (all instances are readers there).

--- a/gateway/include/endivequay/statefeed.h
+++ b/gateway/include/endivequay/statefeed.h
@@ -48,9 +48,11 @@
     /// Another call to the store succeeded.
     void storeAnswered(Instant now)
     {
-        if (!healthy_)
+        if (!healthy_) {
             log_.write(EventId::StoreAnswered, "store", now,
                 { { "silent_ms", toSeconds(now - answeredAt_) * 1000 } });
+            abandonWatch(now);
+        }
         healthy_ = true;
         answeredAt_ = now;
     }
@@ -83,21 +85,37 @@
         });
     }
 
+    /// A store that was silent may have lost the watch and would never answer it.
+    void abandonWatch(Instant now)
+    {
+        if (!watching_)
+            return;
+        ++watches_;
+        watching_ = false;
+        busy_ = false;
+        retryAt_ = now;
+    }
+
     void watch()
     {
         const Instant askedAt = now_();
+        watching_ = true;
         // A peer may have brought later changes than the last watch did.
-        store_.watch(replica_.asOf(), [this, askedAt](Result<WatchResult> result) {
-            busy_ = false;
-            if (!result) {
-                failed(result.lastReason());
-                return;
-            }
-            historyLost_ = result->compacted;
-            result->update.confirmedAt = askedAt;
-            if (!result->compacted)
-                apply(result->update);
-        });
+        store_.watch(
+            replica_.asOf(), [this, askedAt, number = ++watches_](Result<WatchResult> result) {
+                if (number != watches_)
+                    return;
+                watching_ = false;
+                busy_ = false;
+                if (!result) {
+                    failed(result.lastReason());
+                    return;
+                }
+                historyLost_ = result->compacted;
+                result->update.confirmedAt = askedAt;
+                if (!result->compacted)
+                    apply(result->update);
+            });
     }
 
     void apply(const ReplicaUpdate &update)
@@ -123,6 +141,9 @@
     std::function<Instant()> now_;
     std::function<void()> changed_;
     bool busy_ = false;
+    bool watching_ = false;
+    std::uint64_t watches_
+        = 0; ///< Number of the latest watch; answers to earlier ones are ignored.
     bool historyLost_ = false;
     bool healthy_ = true;
     Instant retryAt_;
--- a/gateway/test/statefeed_test.cpp
+++ b/gateway/test/statefeed_test.cpp
@@ -178,3 +178,24 @@
     pass(10s);
     LONGS_EQUAL(0, store.renewals.size());
 }
+
+// Guards against an instance that misses every change for as long as a watch may wait, because the
+// store took the watch while it was down and never answers it.
+TEST(StateFeed, WatchIsRepeatedWhenASilentStoreAnswersAgain)
+{
+    load();
+    LONGS_EQUAL(1, store.watches.size());
+    feed.storeFailed(down, now); // A renewal had no answer.
+    pass(4s);
+    LONGS_EQUAL(1, store.watches.size());
+    feed.storeAnswered(now); // The next one had.
+    pass(20ms);
+    LONGS_EQUAL(2, store.watches.size());
+    // The lost watch ends late; the new one goes on.
+    store.watches[0].second(down);
+    pass(1s);
+    LONGS_EQUAL(2, store.watches.size());
+    CHECK(feed.healthy());
+    store.watches[1].second(WatchResult { update(9, false), false });
+    LONGS_EQUAL(2, changes);
+}
