--- a/core/include/endivequay/events.h
+++ b/core/include/endivequay/events.h
@@ -61,6 +61,7 @@
     EntryRejected = 213,
     Registered = 214,
     RegistrationLost = 215,
+    StateNotHandedOver = 216,
     PeerJoined = 300,
     PeerSuspected = 301,
     PeerRecovered = 302,
--- a/core/src/events.cpp
+++ b/core/src/events.cpp
@@ -32,6 +32,7 @@
     { EventId::EntryRejected, "EntryRejected" },
     { EventId::Registered, "Registered" },
     { EventId::RegistrationLost, "RegistrationLost" },
+    { EventId::StateNotHandedOver, "StateNotHandedOver" },
     { EventId::PeerJoined, "PeerJoined" },
     { EventId::PeerSuspected, "PeerSuspected" },
     { EventId::PeerRecovered, "PeerRecovered" },
--- a/gateway/src/entrypeers.cpp
+++ b/gateway/src/entrypeers.cpp
@@ -246,22 +246,21 @@
 void EntryCore::stateAnswered(const Address &source, Instant askedAt, const CallEnd &end,
     const std::function<void()> &changed)
 {
-    const auto rejected = [&](const std::string &reason) {
-        log_.write(EventId::PeerMessageRejected, reason, now(),
-            { { "peer", source.value() }, { "reason", reason } });
-    };
     if (end.kind != CallEnd::Kind::Response || end.response.status != 200) {
         // Another peer may be ahead as well; it is asked with the next tick.
         sources_.failed(source, now());
-        rejected(end.kind == CallEnd::Kind::Response
-                ? fmt::format("state refused with status {}", end.response.status)
-                : end.reason);
+        const std::string reason = end.kind == CallEnd::Kind::Response
+            ? fmt::format("status {}", end.response.status)
+            : end.reason;
+        log_.write(EventId::StateNotHandedOver, reason, now(),
+            { { "peer", source.value() }, { "reason", reason }, { "loaded", replica_.loaded() } });
         return;
     }
     sources_.answered(source);
     const auto update = decodeUpdate(end.response.body, askedAt);
     if (!update) {
-        rejected(update.lastReason().reason);
+        log_.write(EventId::PeerMessageRejected, update.lastReason().reason, now(),
+            { { "peer", source.value() }, { "reason", update.lastReason().reason } });
         return;
     }
     log_.write(EventId::StateFromPeer, source.value(), now(),
