engine: a reserve that grants from the first moment after a restart of all

Change: members that were just listed count as heard toward the reserve for 1.5 s, the time of the first heartbeats and digests; an instance that starts and has heard nobody holds 0.6 of the reserve's depth. The members are set before the table. Why this stays within the limit: the depth that is never granted makes up for one restart, the time without grants for a second; LimitHoldsWhileAllInstancesRestartUnderLoad restarts all twice within half a second.

--- a/engine/include/endivequay/fleetquota.h
+++ b/engine/include/endivequay/fleetquota.h
@@ -47,7 +47,7 @@
 /// Part of each limit is divided among the instances. The rest is a reserve that one instance keeps
 /// for each team; an instance whose share is used up asks it before it refuses. The keeper is
 /// chosen by rendezvous among the members with fresh reports and those that were just listed, and
-/// keeps only the part of the reserve of those it has heard, so that the keepers of two halves of a
+/// keeps only the part of the reserve of those, so that the keepers of two halves of a
 /// partitioned fleet have no more than the whole. A keeper that takes over begins with nothing, so
 /// that kills do not grant a reserve twice. A limit that all instances exceed at once, also right
 /// after a restart of all, stays within its bound.
@@ -76,6 +76,15 @@
 
     /// A report older than this counts as missing; two reports between regions may be lost.
     static constexpr Interval staleReport = std::chrono::milliseconds(2600);
+    /// A member that was just listed counts as heard toward the reserve for this long: the first
+    /// heartbeats and digests after a restart of all take about this time. In a partition it lets
+    /// a keeper grant too much no longer than this.
+    static constexpr Interval listedCountsAsHeard = std::chrono::milliseconds(1500);
+    /// Part of its depth that a reserve holds at an instance that starts and has heard nobody. The
+    /// depth that is never granted makes up for one restart, and the time without any grants for a
+    /// second one.
+    static constexpr double reserveAtStart = 0.6;
+
     /// Part of the burst that is spread over the window. What a window allows beyond the refill
     /// rate is the depth of the buckets.
     static constexpr double spreadBurst = 0.4;
--- a/engine/src/fleetquota.cpp
+++ b/engine/src/fleetquota.cpp
@@ -60,11 +60,13 @@
     DemandReport fleet = ownKnown;
     std::vector<std::pair<InstanceId, std::uint64_t>> keepers { { self_, hash64(self_.value()) } };
     std::size_t heard = 1;
+    std::size_t present = 1;
     for (const PeerView &peer : peers) {
         const bool fresh = now - peer.heardAt < staleReport;
         // After a restart of all, the first to be asked is the one that all others ask as well.
         if (fresh || now - peer.listedAt < staleReport)
             keepers.emplace_back(peer.id, hash64(peer.id.value()));
+        present += fresh || now - peer.listedAt < listedCountsAsHeard ? 1 : 0;
         if (!fresh)
             continue;
         ++heard;
@@ -77,7 +79,7 @@
     const std::size_t stale = members - heard;
     const double window = toSeconds(tolerance_.window);
     const double reserved = members > largeFleet ? reservePartLargeFleet : reservePart;
-    const double freshPart = static_cast<double>(heard) / static_cast<double>(members);
+    const double presentPart = static_cast<double>(present) / static_cast<double>(members);
     std::map<TeamId, Share> shares;
     for (const TeamSettings &team : document.teams) {
         if (team.rate.value() <= 0)
@@ -98,13 +100,13 @@
         const double refill = team.rate.value() + spreadBurst * team.burst.value() / window;
         const double depth = grantedDepth * (allowed - refill * window);
         const double ownPart = (1 - reserved) * share.part;
-        const double kept = reserved * freshPart;
+        const double kept = reserved * presentPart;
         // New shares start full. If all instances restart at once, their depth is granted twice,
-        // which the part of it that is never granted makes up for. A reserve starts empty: the
-        // keeper before may have granted all of it.
+        // which the part of it that is never granted makes up for.
         if (known == shares_.end()) {
             share.bucket = RefillBucket(ownPart * refill, ownPart * depth, ownPart * depth, now);
-            share.reserve = RefillBucket(kept * refill, kept * depth, 0, now);
+            const double atStart = heard == 1 ? reserveAtStart : 0;
+            share.reserve = RefillBucket(kept * refill, kept * depth, atStart * kept * depth, now);
         }
         share.bucket.setLimit(
             ownPart * refill, std::max(leastBurst(members), ownPart * depth), now);
--- a/gateway/src/entrycore.cpp
+++ b/gateway/src/entrycore.cpp
@@ -124,6 +124,10 @@
 {
     const Instant at = now();
     reportChanges(state, at);
+    // Before the table, so that the first division of the limits counts all members.
+    peers_.setRegistered(state.members, at);
+    notePeerChanges(at);
+    engine_.setPeers(peers_.views(), at);
     const RoutingTable *current = engine_.table();
     if (state.table && (current == nullptr || state.table->version() > current->version())) {
         log_.write(EventId::ConfigApplied, {}, at,
@@ -135,9 +139,6 @@
         engine_.setTable(state.table, at);
     }
     engine_.setUpstreams(state.upstreams, state.evacuated, at);
-    peers_.setRegistered(state.members, at);
-    notePeerChanges(at);
-    engine_.setPeers(peers_.views(), at);
     // Peers that know at once that this instance is back divide the limits with it.
     if (std::exchange(introduced_, true))
         return;
