gateway: a stopping instance starts nothing behind an open request

Cause: while an instance stops, only the answer to the last open request of a connection closes it. Ruled out: requests that may run once (they wait for their predecessors anyway). Change: while the server stops, the next request starts only when none is open on its connection; the answer before it closes the connection and the client sends it again.

--- a/gateway/src/edgeserver.cpp
+++ b/gateway/src/edgeserver.cpp
@@ -129,8 +129,13 @@
             });
     }
 
-    /// Whether the next request in the input may start now.
-    bool mayStartNext() const { return !closing_ && !blocked_ && open_.size() < pipelineDepth; }
+    /// Whether the next request in the input may start now. While the server stops, the answer to
+    /// an open request closes the connection, and its client sends what is behind it again.
+    bool mayStartNext() const
+    {
+        const bool lastOne = server_.draining_ && !open_.empty();
+        return !closing_ && !blocked_ && !lastOne && open_.size() < pipelineDepth;
+    }
 
     void parse()
     {
--- a/gateway/test/http_test.cpp
+++ b/gateway/test/http_test.cpp
@@ -137,6 +137,26 @@
     CHECK(client.take().find("Connection: close") != std::string::npos);
 }
 
+// Guards against a pipeline that never empties, so that a stopping server never closes it and cuts
+// the requests that it started last, with answers that were ready behind a slow one.
+TEST(EdgeServer, StoppingServerStartsNothingBehindAnOpenRequest)
+{
+    RawPeer client(loop);
+    client.connect(address);
+    client.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    until([&] { return requests.size() == 1; });
+    server->startDraining();
+    client.send("GET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    loop.run_for(20ms);
+    loop.restart();
+    LONGS_EQUAL(1, requests.size());
+    server->respond(requests[0].first, text(200, "first"));
+    until([&] { return client.ended(); });
+    CHECK(client.take().find("first") != std::string::npos);
+    CHECK(client.take().find("Connection: close") != std::string::npos);
+    LONGS_EQUAL(1, requests.size());
+}
+
 // Guards against work for a client that has gone.
 TEST(EdgeServer, LeavingClientIsNoticedWhileItsRequestIsOpen)
 {
