--- a/coordination/src/rateshares.cpp
+++ b/coordination/src/rateshares.cpp
@@ -1,5 +1,7 @@
 #include "endivequay/shares.h"
 
+#include "millionths.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -7,9 +9,10 @@
 
 namespace {
 
-__extension__ using Wide = __int128;
-
-constexpr std::int64_t million = 1'000'000;
+using detail::million;
+using detail::scaled;
+using detail::toMillionths;
+using detail::Wide;
 
 // Lenders asked in one round: a request waits for two rounds, and a small team's tokens lie in one
 // piece per domain.
@@ -25,13 +28,6 @@
 // between regions. More than that is missing elsewhere.
 constexpr double coverSeconds = 0.06;
 
-// Below this rest a loan is renewed: the renewal and one repetition fit in.
-constexpr Interval renewBefore = std::chrono::milliseconds(1500);
-constexpr Interval renewRepeat = std::chrono::milliseconds(600);
-
-// Loans are not returned at once, because the demand that they were for is not measured yet.
-constexpr Interval minHolding = std::chrono::milliseconds(300);
-
 // A rest shorter than this is not worth passing on.
 constexpr Interval minPassOnTerm = std::chrono::milliseconds(500);
 
@@ -39,16 +35,6 @@
 // two standard deviations of the arrivals in a second.
 constexpr double rateHeadroom = 1.2;
 
-std::int64_t toMillionths(double amount)
-{
-    return static_cast<std::int64_t>(std::llround(amount * 1e6));
-}
-
-std::int64_t scaled(std::int64_t amount, std::int64_t part, std::int64_t whole)
-{
-    return whole == 0 ? 0 : static_cast<std::int64_t>(Wide { amount } * part / whole);
-}
-
 } // namespace
 
 Allotment RateShares::Resource::own(Instant at) const
@@ -479,140 +465,6 @@
     resource.clamp(now);
 }
 
-void RateShares::renew(
-    Resource &resource, const LoanRequest &request, LoanReply &reply, Instant now)
-{
-    const auto former = resource.lent.find(*request.renews);
-    const Allotment own = resource.own(now);
-    const bool covered = lowerOf(own, resource.lentAt(now)) == resource.lentAt(now);
-    const bool starved = resource.starved && !resource.demand.idle(now);
-    if (former == resource.lent.end() || !covered || starved)
-        return;
-    // The parts of other holders stay lent until the former deadline.
-    reply.amount = lowerOf(request.amount, former->second.amount);
-    reply.term = rateLoanTerm;
-    former->second.amount -= reply.amount;
-    resource.lent[reply.id] = { reply.amount, now + rateLoanTerm + lenderMargin(rateLoanTerm) };
-}
-
-bool RateShares::onLoanReply(const LoanReply &reply, Instant now)
-{
-    Resource *found = find(reply.resource, now);
-    if (!found)
-        return false;
-    const auto pending = found->pending.find(reply.id);
-    if (pending == found->pending.end() || pending->second.lender != reply.lender)
-        return false;
-    const Pending sent = pending->second;
-    found->pending.erase(pending);
-    const bool granted = reply.amount.burst > 0 || reply.amount.rate > 0;
-    if (!sent.renews)
-        found->lenders.onReply(reply, granted, self_, now);
-    const Instant deadline = sent.sentAt + std::min(reply.term, rateLoanTerm);
-    if (!granted || deadline <= now || reply.definition != found->definitions.currentDigest())
-        return false;
-
-    const Borrowed loan { reply.origin.value_or(LoanOrigin { reply.lender, reply.id }),
-        reply.amount, now, deadline, deadline - renewBefore };
-    if (sent.renews) {
-        takeRenewal(*found, *sent.renews, reply, loan);
-        return false;
-    }
-    found->borrowed[reply.id] = loan;
-    found->tokens += std::min(reply.tokens, reply.amount.burst);
-    found->clamp(now);
-    return reply.tokens > 0;
-}
-
-void RateShares::takeRenewal(
-    Resource &resource, const LoanId &old, const LoanReply &reply, Borrowed loan)
-{
-    const auto former = resource.borrowed.find(old);
-    if (former == resource.borrowed.end())
-        return;
-    // Parts of the former loan may have been passed on since the request was sent.
-    loan.amount = lowerOf(loan.amount, former->second.amount);
-    loan.receivedAt = former->second.receivedAt;
-    former->second.amount -= loan.amount;
-    if (former->second.amount == Allotment())
-        resource.borrowed.erase(former);
-    resource.borrowed[reply.id] = loan;
-}
-
-void RateShares::onLoanReturn(const LoanReturn &loan, Instant now)
-{
-    Resource *found = find(loan.resource, now);
-    if (!found)
-        return;
-    const auto lent = found->lent.find(loan.id);
-    if (lent == found->lent.end() || !lent->second.returns.insert(loan.message).second)
-        return;
-    // The parts of other holders stay lent until the deadline.
-    const Allotment returned = lowerOf(loan.amount, lent->second.amount);
-    lent->second.amount -= returned;
-    found->tokens += std::min(loan.tokens, returned.burst);
-    found->clamp(now);
-}
-
-void RateShares::renewLoans(Resource &resource, Instant now, std::vector<ShareOutgoing> &out)
-{
-    for (auto &[id, loan] : resource.borrowed) {
-        if (now < loan.renewAt || loan.amount.rate == 0
-            || resource.surplusWithout(loan.amount, now))
-            continue;
-        loan.renewAt = now + renewRepeat;
-        LoanRequest request = requestFor(resource, loan.origin.lender, now);
-        resource.pending[request.id].renews = id;
-        request.renews = loan.origin.id;
-        request.amount = loan.amount;
-        out.push_back({ loan.origin.lender, request });
-    }
-}
-
-void RateShares::returnLoans(Resource &resource, Instant now, std::vector<ShareOutgoing> &out)
-{
-    const auto unneeded = [&](const auto &entry) {
-        const Borrowed &loan = entry.second;
-        // Tokens alone are for requests that waited; what they left over goes back.
-        if (loan.amount.rate == 0)
-            return !resource.starved && loan.deadline - now > minHolding / 3
-                && now > loan.receivedAt && resource.canGive(loan, loan.amount, now);
-        return now - loan.receivedAt >= minHolding && resource.surplusWithout(loan.amount, now)
-            && resource.canGive(loan, loan.amount, now);
-    };
-    // One at a time, because each changes what is surplus.
-    const auto found = std::ranges::find_if(resource.borrowed, unneeded);
-    if (found == resource.borrowed.end())
-        return;
-    const Borrowed loan = found->second;
-    const Allotment limits = resource.effective(now);
-    const std::int64_t tokens
-        = std::min(loan.amount.burst, scaled(resource.tokens, loan.amount.burst, limits.burst));
-    resource.borrowed.erase(found);
-    resource.tokens -= tokens;
-    resource.clamp(now);
-    out.push_back({ loan.origin.lender,
-        LoanReturn {
-            loan.origin.id, { self_, ++lastSequence_ }, resource.id, loan.amount, tokens, 0 } });
-}
-
-std::vector<ShareOutgoing> RateShares::tick(Instant now)
-{
-    std::vector<ShareOutgoing> out;
-    for (auto &[resourceId, resource] : resources_) {
-        resource.advance(now);
-        renewLoans(resource, now, out);
-        returnLoans(resource, now, out);
-        // Ask before the bucket is empty, so that requests need not wait.
-        const Allotment limits = resource.effective(now);
-        const bool slow
-            = resource.tokens < limits.burst / 2 && resource.wantedRate(now) > limits.rate;
-        if (resource.definitions.current() && (slow || resource.tokens < 2 * resource.reserve(now)))
-            std::ranges::move(startRound(resource, 0, now), std::back_inserter(out));
-    }
-    return out;
-}
-
 bool RateShares::fitsWithin(const CellSet &cells, Instant now)
 {
     return std::ranges::all_of(resources_, [&](auto &entry) {
--- a/daemon/src/node.h
+++ b/daemon/src/node.h
@@ -26,6 +26,9 @@
 
 namespace endivequay {
 
+/// Sixteen hexadecimal digits, as the time line and the status name an incarnation.
+std::string toText(const Incarnation &incarnation);
+
 /// Shared tables of an instance. Lock order: config, membership, shares, admission (see
 /// admission.h), operations. A thread that holds one takes only later ones. The time line, the
 /// metrics and the peer links have locks of their own that are never held while taking another.
