gateway: report messages of peers that cannot be read or sent

Cause: unreadable datagrams were counted in a number that nothing read, and failed sends were dropped: errors swallowed, found when the change was read again. The number of failure domains was computed in two places. Change: both are logged (306) and counted (endivequay_peer_messages_failed_total); InstanceIdentity tells its domains.

--- a/engine/include/endivequay/requestengine.h
+++ b/engine/include/endivequay/requestengine.h
@@ -94,6 +94,9 @@
     FailureDomainId domain;
     RegionId region;
     std::map<RegionId, int> domainsByRegion; ///< Number of failure domains.
+
+    /// Number of failure domains in all regions. Each has at least one instance.
+    std::size_t failureDomains() const;
 };
 
 /// Decides what happens to each request: state machine without sockets, threads and clock.
--- a/engine/src/requestengine.cpp
+++ b/engine/src/requestengine.cpp
@@ -55,14 +55,6 @@
     mean = mean == 0 ? sample : mean + timeWeight * (sample - mean);
 }
 
-/// Each failure domain has at least one instance.
-std::size_t failureDomains(const InstanceIdentity &self)
-{
-    return std::transform_reduce(self.domainsByRegion.begin(), self.domainsByRegion.end(),
-        std::size_t { 0 }, std::plus {},
-        [](const auto &entry) { return static_cast<std::size_t>(entry.second); });
-}
-
 /// From 0 to 1, different for different objects.
 double returnSpread(std::uint64_t objectHash)
 {
@@ -76,6 +68,12 @@
 
 } // namespace
 
+std::size_t InstanceIdentity::failureDomains() const
+{
+    return std::transform_reduce(domainsByRegion.begin(), domainsByRegion.end(), std::size_t { 0 },
+        std::plus {}, [](const auto &entry) { return static_cast<std::size_t>(entry.second); });
+}
+
 std::string_view causeName(AnswerCause cause)
 {
     static constexpr std::array<std::string_view, 12> names { "no_configuration", "no_route",
@@ -87,8 +85,8 @@
 RequestEngine::RequestEngine(InstanceIdentity self, SendBudgetLimits budget, QuotaTolerance quota)
     : self_(std::move(self))
     , budgetLimits_(budget)
-    , upstreams_(self_.id, failureDomains(self_))
-    , quota_(self_.id, quota, failureDomains(self_))
+    , upstreams_(self_.id, self_.failureDomains())
+    , quota_(self_.id, quota, self_.failureDomains())
 { }
 
 void RequestEngine::setTable(std::shared_ptr<const RoutingTable> table, Instant now)
--- a/engine/src/requestplacing.cpp
+++ b/engine/src/requestplacing.cpp
@@ -67,12 +67,10 @@
     // Callers are assumed to be spread evenly over the failure domains until they are heard of: the
     // shares change slowly, so a start with everything at home would last.
     const double missing = std::max(0.0, assumedFill * slots - total);
-    int domains = 0;
-    for (const auto &[region, count] : self_.domainsByRegion)
-        domains += count;
+    const auto domains = static_cast<double>(std::max<std::size_t>(1, self_.failureDomains()));
     if (total < knownFill * slots)
         for (const auto &[region, count] : self_.domainsByRegion)
-            loads[region].demand += missing * count / std::max(1, domains);
+            loads[region].demand += missing * count / domains;
     return loads;
 }
 
--- a/gateway/include/endivequay/peers.h
+++ b/gateway/include/endivequay/peers.h
@@ -65,15 +65,16 @@
 {
 public:
     using Received = std::function<void(const PeerMessage &)>;
+    /// A message that could not be read or sent, with the peer's address.
+    using Failed = std::function<void(const Error &)>;
 
     static Result<std::unique_ptr<HeartbeatSocket>> open(
-        asio::io_context &loop, const Address &address, Received received);
+        asio::io_context &loop, const Address &address, Received received, Failed failed);
 
     void send(const std::string &bytes, const Address &to);
-    std::uint64_t rejected() const { return rejected_; }
 
 private:
-    HeartbeatSocket(asio::io_context &loop, Received received);
+    HeartbeatSocket(asio::io_context &loop, Received received, Failed failed);
     void receive();
 
     static constexpr std::size_t largestDatagram = std::size_t { 16 } * 1024;
@@ -81,7 +82,7 @@
     asio::ip::udp::endpoint sender_;
     std::array<char, largestDatagram> buffer_ {};
     Received received_;
-    std::uint64_t rejected_ = 0;
+    Failed failed_;
 };
 
 } // namespace endivequay
--- a/gateway/src/edgeserver.cpp
+++ b/gateway/src/edgeserver.cpp
@@ -20,7 +20,7 @@
 
 constexpr std::size_t readChunk = std::size_t { 4 } * 1024; // Most requests fit.
 
-/// Connections that wait to be accepted: a burst of all clients of a zone.
+/// Connections that wait to be accepted: a burst of all clients of a failure domain.
 constexpr int acceptBacklog = 512;
 
 } // namespace
--- a/gateway/src/entrycore.cpp
+++ b/gateway/src/entrycore.cpp
@@ -90,7 +90,12 @@
         return gateway.lastReason();
     gateway_ = *std::move(gateway);
     auto heartbeats = HeartbeatSocket::open(
-        loop_, settings_.heartbeats, [this](const PeerMessage &message) { received(message); });
+        loop_, settings_.heartbeats, [this](const PeerMessage &message) { received(message); },
+        [this](const Error &error) {
+            metrics_.count("endivequay_peer_messages_failed_total", "step", error.step);
+            log_.write(EventId::PeerMessageRejected, error.step, now(),
+                { { "step", error.step }, { "peer", error.peer }, { "reason", error.reason } });
+        });
     if (!heartbeats)
         return heartbeats.lastReason();
     heartbeats_ = *std::move(heartbeats);
--- a/gateway/src/peers.cpp
+++ b/gateway/src/peers.cpp
@@ -100,18 +100,20 @@
     return now - std::max({ peer.heardAt, peer.messageAt, peer.listedAt }) > limit;
 }
 
-HeartbeatSocket::HeartbeatSocket(asio::io_context &loop, Received received)
+HeartbeatSocket::HeartbeatSocket(asio::io_context &loop, Received received, Failed failed)
     : socket_(loop)
     , received_(std::move(received))
+    , failed_(std::move(failed))
 { }
 
 Result<std::unique_ptr<HeartbeatSocket>> HeartbeatSocket::open(
-    asio::io_context &loop, const Address &address, Received received)
+    asio::io_context &loop, const Address &address, Received received, Failed failed)
 {
     const auto endpoint = parseEndpoint(address);
     if (!endpoint)
         return endpoint.lastReason();
-    std::unique_ptr<HeartbeatSocket> result(new HeartbeatSocket(loop, std::move(received)));
+    std::unique_ptr<HeartbeatSocket> result(
+        new HeartbeatSocket(loop, std::move(received), std::move(failed)));
     asio::error_code error;
     const asio::ip::udp::endpoint local(endpoint->address(), endpoint->port());
     result->socket_.open(local.protocol(), error);
@@ -136,7 +138,9 @@
                 if (message)
                     received_(*message);
                 else
-                    ++rejected_;
+                    failed_({ message.lastReason().step,
+                        sender_.address().to_string() + ':' + std::to_string(sender_.port()),
+                        message.lastReason().reason });
             }
             receive();
         });
@@ -145,11 +149,16 @@
 void HeartbeatSocket::send(const std::string &bytes, const Address &to)
 {
     const auto endpoint = parseEndpoint(to);
-    if (!endpoint)
+    if (!endpoint) {
+        failed_(endpoint.lastReason());
         return;
-    asio::error_code ignored; // The next heartbeat replaces a lost one.
+    }
+    asio::error_code error;
     socket_.send_to(asio::buffer(bytes),
-        asio::ip::udp::endpoint(endpoint->address(), endpoint->port()), 0, ignored);
+        asio::ip::udp::endpoint(endpoint->address(), endpoint->port()), 0, error);
+    // The next heartbeat replaces a lost one.
+    if (error)
+        failed_({ "heartbeat.send", to.value(), error.message() });
 }
 
 } // namespace endivequay
--- a/gateway/test/entrycore_test.cpp
+++ b/gateway/test/entrycore_test.cpp
@@ -96,6 +96,20 @@
     until([&] { return core.peers().peers().at(InstanceId("p0")).messageAt != Instant {}; });
 }
 
+// Guards against datagrams that are dropped without a trace: two versions that do not understand
+// each other would look like a broken network.
+TEST(EntryCore, UnreadableMessagesAreCounted)
+{
+    core.adopt(state(1));
+    core.beat(std::nullopt);
+    until([&] { return received().has_value(); });
+    peer.send_to(asio::buffer(std::string("no message")), sender);
+    until([&] {
+        return core.metricsPage().body.find("endivequay_peer_messages_failed_total")
+            != std::string::npos;
+    });
+}
+
 // Guards against reserves that are made before the members are known: a keeper then has only the
 // part of the few that the deployment has at least, right after a restart of all.
 TEST(EntryCore, FirstDivisionOfTheLimitsCountsAllMembers)
