gateway: repeat a store call that timed out at once

Cause: after earlier failures the feed waited up to 0.8 s more after a call had timed out, although the store may have been back for as long as the call waited. With the timeout of a lost watch this exceeded a recovery time of 3 s. Change: the interval between a failed call and the next one counts from the start of the failed call. Conclusion: the interval still bounds the calls to a store that fails fast.

--- a/gateway/include/endivequay/statefeed.h
+++ b/gateway/include/endivequay/statefeed.h
@@ -17,7 +17,8 @@
 class StateFeed
 {
 public:
-    /// Delay after the first failure; doubles up to maxBackoff.
+    /// Interval between a call and the one after its failure; doubles up to maxBackoff. A call that
+    /// took longer is repeated at once.
     static constexpr Interval initialBackoff = std::chrono::milliseconds(100);
     /// Short enough for an instance to catch up within three seconds after its link recovers.
     static constexpr Interval maxBackoff = std::chrono::milliseconds(800);
@@ -77,7 +78,7 @@
         store_.list([this, askedAt](Result<ReplicaUpdate> result) {
             callPending_ = false;
             if (!result) {
-                handleFailure(result.lastReason());
+                handleFailure(result.lastReason(), askedAt);
                 return;
             }
             historyCompacted_ = false;
@@ -109,7 +110,7 @@
                 watchPending_ = false;
                 callPending_ = false;
                 if (!result) {
-                    handleFailure(result.lastReason());
+                    handleFailure(result.lastReason(), askedAt);
                     return;
                 }
                 historyCompacted_ = result->compacted;
@@ -128,11 +129,10 @@
             changed_();
     }
 
-    void handleFailure(const Error &error)
+    void handleFailure(const Error &error, Instant askedAt)
     {
-        const Instant now = now_();
-        storeFailed(error, now);
-        retryAt_ = now + backoff_;
+        storeFailed(error, now_());
+        retryAt_ = askedAt + backoff_;
         backoff_ = std::min(backoff_ * 2, maxBackoff);
     }
 
--- a/gateway/test/statefeed_test.cpp
+++ b/gateway/test/statefeed_test.cpp
@@ -97,6 +97,22 @@
     CHECK(feed.healthy());
 }
 
+// Guards against a further delay after a call that timed out: the store may have been back for as
+// long as the call waited.
+TEST(StateFeed, CallThatTimedOutIsRepeatedAtOnce)
+{
+    loadState();
+    for (int i = 0; i < 10; ++i) {
+        store.watches.back().second(storeError);
+        advanceClock(StateFeed<ScriptedStore>::maxBackoff);
+    }
+    const std::size_t calls = store.watches.size();
+    advanceClock(2s);
+    store.watches.back().second(storeError);
+    advanceClock(1ms);
+    LONGS_EQUAL(calls + 1, store.watches.size());
+}
+
 // Guards against missing the changes in a history that the store has compacted.
 TEST(StateFeed, LostHistoryIsReadAnew)
 {
