daemon: read the platform's list of instances entry by entry

Cause: one odd entry hid all instances of the list, and a "state" that is no text threw an exception on a thread that catches none, which ended the process. Conclusion: other entries are followed whatever one of them holds.

--- a/daemon/src/nodestore.cpp
+++ b/daemon/src/nodestore.cpp
@@ -1,10 +1,10 @@
 // Access to the store and to the platform's membership list.
 
 #include "endivequay/upstreamclient.h"
+#include "membershiplist.h"
 #include "node.h"
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 
@@ -50,22 +50,6 @@
     return deletes;
 }
 
-std::optional<std::vector<ListedInstance>> parseMembershipList(const std::string &body)
-{
-    const auto json = nlohmann::json::parse(body, nullptr, false);
-    if (!json.is_array())
-        return std::nullopt;
-    std::vector<ListedInstance> instances;
-    for (const auto &entry : json) {
-        if (!entry.is_object() || !entry.contains("address") || !entry["address"].is_string()
-            || !entry.contains("failure_domain") || !entry["failure_domain"].is_string())
-            return std::nullopt;
-        instances.push_back({ Address(entry["address"]), FailureDomainId(entry["failure_domain"]),
-            entry.value("state", "live") == "leaving" });
-    }
-    return instances;
-}
-
 } // namespace
 
 void Node::storeLoop(const std::stop_token &stop)
@@ -369,6 +353,19 @@
     UpstreamClient client;
     std::mutex mutex;
     std::condition_variable_any wake;
+    std::string rejectedBefore;
+    // The list is read every two seconds; an entry is reported when it becomes invalid.
+    const auto recordRejected = [&](const std::vector<Error> &errors) {
+        std::string rejected;
+        for (const Error &error : errors)
+            rejected += error.peer + ": " + error.reason + '\n';
+        if (rejected != rejectedBefore)
+            for (const Error &error : errors)
+                timeline_.record(EventId::EntryRejected,
+                    { { "step", error.step }, { "entry", error.peer },
+                        { "reason", error.reason } });
+        rejectedBefore = std::move(rejected);
+    };
     while (!stop.stop_requested()) {
         UpstreamRequest request;
         request.address = *settings_.membershipList;
@@ -379,16 +376,17 @@
         request.cancelled = stop;
         const Instant now = clock_.now();
         const auto response = client.send(request);
-        const auto instances = response.outcome == UpstreamOutcome::Answered
+        const auto listed = response.outcome == UpstreamOutcome::Answered
             ? parseMembershipList(response.body)
-            : std::nullopt;
-        if (instances) {
+            : Result<MembershipList>(response.reason);
+        if (listed) {
+            recordRejected(listed->rejected);
             {
                 const std::lock_guard lock(tables_.members.mutex);
-                tables_.members.view.setListedInstances(*instances, now);
+                tables_.members.view.setListedInstances(listed->instances, now);
             }
             PlatformList list { {}, now };
-            for (const ListedInstance &instance : *instances) {
+            for (const ListedInstance &instance : listed->instances) {
                 if (instance.domain == identity_.domain)
                     list.addresses.insert(instance.address);
             }
