gateway: compare the id also of a response that ends with its connection

Cause: a response that states no length is complete when its connection closes. There the client did not compare its id with the request's, so that a late copy of an earlier refusal answered the next request on a kept connection with "not run" although the upstream runs it, and a late copy of a success answered another caller. Change: the id is compared there as well; a copy is a failed attempt that may have run. Conclusion: a request that must not run twice gets 502 in this case.

--- a/gateway/src/edgeclient.cpp
+++ b/gateway/src/edgeclient.cpp
@@ -199,7 +199,7 @@
     {
         if (busy() && error == asio::error::eof && parser_.started()) {
             parser_.finish();
-            if (parser_.state() == HttpParser::State::Complete) {
+            if (parser_.state() == HttpParser::State::Complete && matchesCall()) {
                 parser_.message().keepAlive = false;
                 complete(false);
                 return;
