gateway: send a repeated request id over another connection

Cause: if a caller repeats a request with the same id and it goes to the same upstream over the same connection, a late copy of the first refusal cannot be told from the response to the second, which may be running. Change: a connection remembers the ids of its last 16 requests; a request with one of them uses another connection. Figures: test RepeatedRequestUsesAnotherConnection failed before (one connection was opened, two are wanted) and passes. Conclusion: callers with an id of their own for each attempt see no difference; the cost is one hash for each request.

--- a/gateway/include/endivequay/edgeclient.h
+++ b/gateway/include/endivequay/edgeclient.h
@@ -24,7 +24,7 @@
     Address address;
     std::string bytes; ///< The serialized request.
     Instant deadline;
-    bool mayReuse = true; ///< An idle connection may be used.
+    bool mayReuse = true; ///< An idle connection without a recent call of the same id may be used.
     bool head = false; ///< A HEAD request: the response has no body.
     /// Header field whose value in the response must equal id; a response with another value
     /// belongs to an earlier request and is skipped. The first response on a connection is accepted
@@ -90,7 +90,7 @@
     class Connection;
     friend class Connection;
 
-    std::shared_ptr<Connection> takeIdleConnection(const Address &address);
+    std::shared_ptr<Connection> takeIdleConnection(const HttpCall &call);
     void connect(const std::shared_ptr<Connection> &connection);
     void addIdle(const std::shared_ptr<Connection> &connection);
     void remove(Connection &connection);
--- a/gateway/src/edgeclient.cpp
+++ b/gateway/src/edgeclient.cpp
@@ -1,5 +1,6 @@
 #include "endivequay/edgeclient.h"
 
+#include "endivequay/digest.h"
 #include "endivequay/edgeserver.h"
 
 #include <asio/post.hpp>
@@ -7,6 +8,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 #include <netinet/tcp.h>
 
 namespace endivequay {
@@ -19,6 +21,9 @@
 /// it.
 constexpr Interval idleMargin = std::chrono::milliseconds(1000);
 
+/// Calls whose ids a connection remembers. Late copies belong to recent calls.
+constexpr std::size_t recentCallCount = 16;
+
 /// TCP keep-alive: probe interval, and number of unanswered probes after which a connection fails.
 constexpr int probeIntervalSeconds = 1;
 constexpr int probeCount = 2;
@@ -97,6 +102,7 @@
         id_ = id;
         call_ = std::move(call);
         done_ = std::move(done);
+        recentIds_[nextRecentId_++ % recentCallCount] = hash64(call_.id);
         output_ = std::move(call_.bytes);
         sent_ = false;
         skippedResponses_ = 0;
@@ -108,6 +114,13 @@
     }
 
     bool busy() const { return id_ != 0; }
+    /// Whether a recent call on this connection had the same id. A late copy of its response could
+    /// not be told from the response to \a call.
+    bool hadCallLike(const HttpCall &call) const
+    {
+        return !call.id.empty()
+            && std::ranges::find(recentIds_, hash64(call.id)) != recentIds_.end();
+    }
     bool closed() const { return closed_; }
     const Address &address() const { return address_; }
     Instant idleUntil() const { return idleUntil_; }
@@ -306,6 +319,8 @@
     HttpParser parser_;
     std::array<char, readBufferBytes> readBuffer_ {};
     std::string output_;
+    std::array<std::uint64_t, recentCallCount> recentIds_ {}; ///< Hashes; a ring buffer.
+    std::size_t nextRecentId_ = 0;
     CallId id_ = 0; ///< 0: idle.
     HttpCall call_;
     Callback done_;
@@ -331,28 +346,30 @@
 
 EdgeClient::~EdgeClient() = default;
 
-std::shared_ptr<EdgeClient::Connection> EdgeClient::takeIdleConnection(const Address &address)
+std::shared_ptr<EdgeClient::Connection> EdgeClient::takeIdleConnection(const HttpCall &call)
 {
-    const auto found = idle_.find(address);
+    const auto found = idle_.find(call.address);
     if (found == idle_.end())
         return nullptr;
     auto &connections = found->second;
     const Instant now = now_();
-    while (!connections.empty()) {
-        auto connection = connections.back();
-        connections.pop_back();
-        if (connection->idleUntil() > now)
-            return connection;
-        connection->close();
-    }
-    return nullptr;
+    // The most recently used one; the others end when they have been idle too long.
+    const auto usable = std::ranges::find_if(
+        connections.rbegin(), connections.rend(), [&](const auto &connection) {
+            return connection->idleUntil() > now && !connection->hadCallLike(call);
+        });
+    if (usable == connections.rend())
+        return nullptr;
+    auto connection = *usable;
+    connections.erase(std::next(usable).base());
+    return connection;
 }
 
 CallId EdgeClient::send(HttpCall call, Callback done)
 {
     const CallId id = nextCallId_++;
     const Address address = call.address;
-    auto connection = call.mayReuse ? takeIdleConnection(address) : nullptr;
+    auto connection = call.mayReuse ? takeIdleConnection(call) : nullptr;
     const bool reused = connection != nullptr;
     if (!reused)
         connection = std::make_shared<Connection>(*this, address);
--- a/gateway/test/edgeclient_test.cpp
+++ b/gateway/test/edgeclient_test.cpp
@@ -111,6 +111,31 @@
     }
 }
 
+// Guards against a late copy of a refusal that answers a repetition of its own request on the same
+// connection: the id does not tell them apart.
+TEST(EdgeClient, RepeatedRequestUsesAnotherConnection)
+{
+    RawPeer first(loop);
+    call("a");
+    first.accept(acceptor);
+    waitUntil([&] { return !first.received().empty(); });
+    first.send("HTTP/1.1 503 Busy\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    waitUntil([&] { return results.size() == 1; });
+    call("b");
+    waitUntil([&] { return first.received().find("/b") != std::string::npos; });
+    first.send("HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 0\r\n\r\n");
+    waitUntil([&] { return results.size() == 2; });
+    RawPeer second(loop);
+    call("a");
+    runLoop();
+    LONGS_EQUAL(2, client.connectionsOpened());
+    second.accept(acceptor);
+    waitUntil([&] { return !second.received().empty(); });
+    second.send("HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 3\r\n\r\nnew");
+    waitUntil([&] { return results.size() == 3; });
+    STRCMP_EQUAL("new", results[2].response.body.c_str());
+}
+
 // Guards against a server in trouble that sends without end and takes the memory or the loop of the
 // instance. Each case is repeated until the client closes; bound: 64 MB.
 TEST(EdgeClient, EndlessResponsesEndTheCall)
