transport: count a response only with its whole head

Cause: libcurl reports success when the connection closes within the head of a response. A head that was cut behind "Content-Length: 0", or with a status without a body, was a complete and empty response; one cut behind "not run" was a certain refusal. Change: a response is complete only if the empty line behind its head has arrived. Conclusion: such a request has an unknown outcome on both interfaces.

--- a/gateway/test/edgeclient_test.cpp
+++ b/gateway/test/edgeclient_test.cpp
@@ -136,6 +136,44 @@
     STRCMP_EQUAL("new", results[2].response.body.c_str());
 }
 
+// Guards against a truncated response that looks complete: an upstream that stops anywhere in its
+// response and closes has not answered, unless only a body without a stated length is cut.
+TEST(EdgeClient, TruncatedResponsesAreNotComplete)
+{
+    struct Case
+    {
+        std::string head;
+        std::string body;
+        bool endsWithConnection = false;
+    };
+    for (const Case &each :
+        { Case { "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 10\r\n\r\n", "0123456789" },
+            Case { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nId: a\r\nStamp: s\r\n\r\n", "" },
+            Case { "HTTP/1.1 204 No Content\r\nId: a\r\nA: b\r\n\r\n", "" },
+            Case { "HTTP/1.1 503 Busy\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", "" },
+            Case { "HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+                "3\r\nabc\r\n0\r\n\r\n" },
+            Case { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nContent-Length: "
+                   "2\r\n\r\n",
+                "ab" },
+            Case { "HTTP/1.1 200 OK\r\nId: a\r\nConnection: close\r\n\r\n", "rest", true } }) {
+        const std::string whole = each.head + each.body;
+        for (std::size_t size = 0; size < whole.size(); ++size) {
+            if (each.endsWithConnection && size >= each.head.size())
+                break;
+            results.clear();
+            RawPeer server(loop);
+            call("a", false);
+            server.accept(acceptor);
+            waitUntil([&] { return !server.received().empty(); });
+            server.send(whole.substr(0, size));
+            server.close();
+            waitUntil([&] { return results.size() == 1; });
+            CHECK_TEXT(results[0].kind == CallResult::Kind::Broken, whole.substr(0, size).c_str());
+        }
+    }
+}
+
 // Guards against a server in trouble that sends without end and takes the memory or the loop of the
 // instance. Each case is repeated until the client closes; bound: 64 MB.
 TEST(EdgeClient, EndlessResponsesEndTheCall)
--- a/transport/src/http/exchange.cpp
+++ b/transport/src/http/exchange.cpp
@@ -216,8 +216,10 @@
     if (failed_)
         return;
     const std::string text = errorText_[0] != '\0' ? errorText_.data() : curl_easy_strerror(code);
-    if (code == CURLE_OK && hasDefinedLength())
+    if (code == CURLE_OK && headersComplete_ && hasDefinedLength())
         result_.end = HttpEnd::Complete;
+    else if (code == CURLE_OK && !headersComplete_) // libcurl accepts a head cut by a close.
+        fail(HttpEnd::Incomplete, "the connection closed within the head of the response");
     else if (code == CURLE_OK)
         fail(HttpEnd::Incomplete, "the response does not state its length");
     else if (!result_.sent)
--- a/transport/test/upstreamclient_test.cpp
+++ b/transport/test/upstreamclient_test.cpp
@@ -139,6 +139,24 @@
     }
 }
 
+// Guards against an upstream that stops within the head of its response and closes: libcurl reports
+// success, and the caller would get an empty response or a "not run" that is not certain.
+TEST(UpstreamClient, TruncatedHeadIsUnknown)
+{
+    for (const std::string head : { "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nA: b\r\n\r\n",
+             "HTTP/1.1 204 No Content\r\nA: b\r\n\r\n",
+             "HTTP/1.1 503 Busy\r\nEndivequay-Not-Run: true\r\nContent-Length: 0\r\n\r\n",
+             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n" }) {
+        for (std::size_t size = 0; size < head.size(); ++size) {
+            ScriptedServer server([&](const Received &) {
+                return Reply { head.substr(0, size), true };
+            });
+            const auto response = client.send(requestTo(server.address(), RequestKind::Once));
+            CHECK_TEXT(response.outcome == UpstreamOutcome::Unknown, head.substr(0, size).c_str());
+        }
+    }
+}
+
 // Guards against a worker blocked by a request that its caller cancelled.
 TEST(UpstreamClient, CancellationEndsARequestInFlight)
 {
