gateway: treat a success without a stamp as a failed attempt

Cause: the name of the stamp was configured and not used. A server of another system at an upstream's address could answer 200, and callers took orders for run that no upstream had run. Change: a success without the configured stamp is a failed attempt that may have run: an order gets 502, an idempotent request another upstream, and the upstream counts as failing.

--- a/gateway/include/endivequay/gateway.h
+++ b/gateway/include/endivequay/gateway.h
@@ -21,7 +21,7 @@
     std::string deadlineMs; ///< Remaining time in milliseconds.
     std::string objectCookie; ///< Cookie with the object key of a request.
     std::string keyScheme; ///< Authorization scheme of API keys.
-    std::string stamp; ///< Upstream's authenticity stamp on a response.
+    std::string stamp; ///< Upstream's authenticity stamp on a success; empty: none is expected.
     std::string team; ///< Added to upstream requests.
     std::string expectUpstream; ///< Id of the intended upstream.
     std::string occupancy; ///< "running,waiting,slots".
@@ -86,6 +86,9 @@
     std::string upstreamRequest(
         const Exchange &exchange, const SendToUpstream &order, Instant now) const;
     void handleCallResult(ExchangeId id, CallResult &&end, bool mayReuse);
+    /// Whether \a response reports a success that no upstream confirms: a server of another system
+    /// may listen at the address.
+    bool isUnstampedSuccess(const HttpMessage &response) const;
     AttemptOutcome interpret(Exchange &exchange, CallResult &&end) const;
     void respondLocally(ExchangeId id, const LocalResponse &own);
     void forwardResponse(ExchangeId id);
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -242,6 +242,12 @@
             { "config", parts_.engine.table()->version().value() } });
 }
 
+bool Gateway::isUnstampedSuccess(const HttpMessage &response) const
+{
+    return response.status >= 200 && response.status < 300 && !headers_.stamp.empty()
+        && response.field(headers_.stamp) == nullptr;
+}
+
 AttemptOutcome Gateway::interpret(Exchange &exchange, CallResult &&end) const
 {
     AttemptOutcome attempt;
@@ -252,6 +258,11 @@
         return attempt;
     }
     const HttpMessage &response = end.response;
+    if (isUnstampedSuccess(response)) {
+        attempt.result = AttemptResult::Failed;
+        attempt.mayHaveRun = true;
+        return attempt;
+    }
     if (const std::string *occupancy = response.field(headers_.occupancy))
         attempt.occupancy = parseOccupancy(*occupancy);
     attempt.hasResponse = true;
@@ -283,7 +294,8 @@
         return;
     }
     const Instant now = parts_.now();
-    const std::string reason = end.reason;
+    const std::string reason
+        = isUnstampedSuccess(end.response) ? "success without a stamp" : end.reason;
     const AttemptOutcome attempt = interpret(exchange, std::move(end));
     if (attempt.result != AttemptResult::Good)
         parts_.log.write(EventId::AttemptEnded, reason, now,
