gateway: reset the connection of a call that is given up

After an orderly close the kernel goes on sending bytes that a partition holds up. Change: a connection with an open call is reset when the call times out or is cancelled. Conclusion: a request that was given up does not arrive later.

--- a/gateway/include/endivequay/edgeclient.h
+++ b/gateway/include/endivequay/edgeclient.h
@@ -79,7 +79,8 @@
     /// Sends \a call. Calls \a done exactly once unless the call is cancelled, and never from
     /// within send().
     CallId send(HttpCall call, Callback done);
-    /// Closes the connection of \a call without calling its callback.
+    /// Resets the connection of \a call without calling its callback. Bytes of the request that are
+    /// still on their way are lost.
     void cancel(CallId call);
     /// Times out calls that are past their deadline and closes connections that were idle too long.
     void advance(Instant now);
--- a/gateway/src/edgeclient.cpp
+++ b/gateway/src/edgeclient.cpp
@@ -146,6 +146,10 @@
             return;
         closed_ = true;
         asio::error_code ignored; // The connection is abandoned in any case.
+        // After an orderly close the kernel goes on sending bytes that a partition holds up, and
+        // the upstream would get the request seconds after its caller got an answer.
+        if (busy())
+            socket_.set_option(asio::socket_base::linger(true, 0), ignored);
         socket_.close(ignored);
         setBufferedBytes(0);
         client_.remove(*this);
--- a/gateway/test/edgeclient_test.cpp
+++ b/gateway/test/edgeclient_test.cpp
@@ -334,3 +334,31 @@
     waitUntil([&] { return server.closedByPeer(); });
     LONGS_EQUAL(0, results.size());
 }
+
+// Guards against a request that its upstream gets long after its caller got an answer: an orderly
+// close delivers bytes that a partition holds up, a reset does not.
+TEST(EdgeClient, AbandonedCallsResetTheirConnections)
+{
+    RawPeer first(loop);
+    const CallId id = client.send(
+        { address, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", clock.now() + 5s }, [](CallResult &&) {});
+    first.accept(acceptor);
+    waitUntil([&] { return !first.received().empty(); });
+    client.cancel(id);
+    waitUntil([&] { return first.closedByPeer(); });
+    CHECK(first.resetByPeer());
+    RawPeer second(loop);
+    call("b");
+    second.accept(acceptor);
+    waitUntil([&] { return !second.received().empty(); });
+    client.advance(clock.now() + 6s);
+    waitUntil([&] { return second.closedByPeer(); });
+    CHECK(second.resetByPeer());
+    RawPeer third(loop);
+    call("c");
+    third.accept(acceptor);
+    waitUntil([&] { return !third.received().empty(); });
+    third.send("HTTP/1.1 200 OK\r\nId: c\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+    waitUntil([&] { return third.closedByPeer(); });
+    CHECK_FALSE(third.resetByPeer());
+}
--- a/gateway/test/rawpeer.h
+++ b/gateway/test/rawpeer.h
@@ -43,10 +43,17 @@
         asio::error_code error;
         while (const std::size_t size = socket_.read_some(asio::buffer(chunk), error))
             received_.append(chunk, size);
-        closedByPeer_ = closedByPeer_ || error == asio::error::eof;
+        resetByPeer_ = resetByPeer_ || error == asio::error::connection_reset;
+        closedByPeer_ = closedByPeer_ || resetByPeer_ || error == asio::error::eof;
         return received_;
     }
 
+    bool resetByPeer()
+    {
+        received();
+        return resetByPeer_;
+    }
+
     bool closedByPeer()
     {
         received();
@@ -56,7 +63,8 @@
 private:
     asio::ip::tcp::socket socket_;
     std::string received_;
-    bool closedByPeer_ = false;
+    bool closedByPeer_ = false; ///< In an orderly way or by a reset.
+    bool resetByPeer_ = false;
 };
 
 } // namespace endivequay
