Parse JSON of other writers in one place; report unreadable lists

Cause: the limit of nesting was written twice; a list of instances that could not be read or fetched was passed over without a line. Change: parseBoundedJson() in core serves both; event 213 reports the error of the whole list when it first occurs. Conclusion: one parser for entries of other writers.

--- a/daemon/src/membershiplist.cpp
+++ b/daemon/src/membershiplist.cpp
@@ -1,5 +1,7 @@
 #include "membershiplist.h"
 
+#include "endivequay/boundedjson.h"
+
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
 
@@ -44,17 +46,14 @@
 
 Result<MembershipList> parseMembershipList(std::string_view body)
 {
-    bool tooDeep = false;
-    const auto keep = [&](int depth, Json::parse_event_t, Json &) {
-        tooDeep = tooDeep || depth > maxNesting;
-        return !tooDeep;
-    };
-    const Json json = Json::parse(body, keep, false);
-    if (tooDeep || !json.is_array())
+    const auto json = detail::parseBoundedJson(body, maxNesting);
+    if (!json)
+        return Error { "members.read", {}, json.lastReason().reason };
+    if (!json->is_array())
         return Error { "members.read", {}, "the response is not a list of instances" };
     MembershipList list;
-    for (std::size_t index = 0; index < json.size(); ++index) {
-        auto instance = parseInstance(json[index]);
+    for (std::size_t index = 0; index < json->size(); ++index) {
+        auto instance = parseInstance((*json)[index]);
         if (instance)
             list.instances.push_back(*std::move(instance));
         else
--- a/daemon/src/nodestore.cpp
+++ b/daemon/src/nodestore.cpp
@@ -354,7 +354,7 @@
     std::mutex mutex;
     std::condition_variable_any wake;
     std::string rejectedBefore;
-    // The list is read every two seconds; an entry is reported when it becomes invalid.
+    // The list is read every two seconds; an error is reported when it first occurs.
     const auto recordRejected = [&](const std::vector<Error> &errors) {
         std::string rejected;
         for (const Error &error : errors)
@@ -379,8 +379,8 @@
         const auto listed = response.outcome == UpstreamOutcome::Answered
             ? parseMembershipList(response.body)
             : Result<MembershipList>(response.reason);
+        recordRejected(listed ? listed->rejected : std::vector { listed.lastReason() });
         if (listed) {
-            recordRejected(listed->rejected);
             {
                 const std::lock_guard lock(tables_.members.mutex);
                 tables_.members.view.setListedInstances(listed->instances, now);
