--- a/gateway/test/edgeclient_test.cpp
+++ b/gateway/test/edgeclient_test.cpp
@@ -22,12 +22,7 @@
     template <class Condition>
     void waitUntil(Condition condition)
     {
-        const auto end = std::chrono::steady_clock::now() + waitTimeout;
-        while (!condition()) {
-            CHECK(std::chrono::steady_clock::now() < end);
-            loop.run_for(5ms);
-            loop.restart();
-        }
+        CHECK(runUntil(loop, condition));
     }
 
     void call(const std::string &id, bool mayReuse = true)
--- a/gateway/test/gateway_test.cpp
+++ b/gateway/test/gateway_test.cpp
@@ -67,13 +67,11 @@
     template <class Condition>
     void waitUntil(Condition condition)
     {
-        const auto end = std::chrono::steady_clock::now() + waitTimeout;
-        while (!condition()) {
-            CHECK(std::chrono::steady_clock::now() < end);
-            loop.run_for(5ms);
-            loop.restart();
+        const bool holds = runUntil(loop, [&] {
             gateway->advance(clock.now());
-        }
+            return condition();
+        });
+        CHECK(holds);
     }
 
     static std::string order(const std::string &id)
--- a/gateway/test/rawpeer.h
+++ b/gateway/test/rawpeer.h
@@ -5,6 +5,7 @@
 
 #include <asio/write.hpp>
 
+#include <chrono>
 #include <string>
 
 namespace endivequay {
@@ -16,6 +17,20 @@
 /// connection.
 inline const Address anyPort { "127.0.0.1:0" };
 
+/// Runs \a loop until \a condition holds; returns false if it does not within waitTimeout.
+template <class Condition>
+bool runUntil(asio::io_context &loop, Condition condition)
+{
+    const auto end = std::chrono::steady_clock::now() + waitTimeout;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        loop.run_for(std::chrono::milliseconds(5));
+        loop.restart();
+    }
+    return true;
+}
+
 /// A raw TCP peer that sends and receives exact bytes.
 class RawPeer
 {
