Choose upstreams by expected completion where they report their pace

Upstreams may report how long work takes at the moment as a fourth figure of the load report. Where one does, the choice is by the wait behind the requests ahead and the run itself, warm or cold, at that pace. The primary upstream stays the choice while it meets the objective, and one second upstream takes the overflow. One long run no longer makes an outlier. A request that waits for a warm upstream gets a cold one before it is refused.

--- a/engine/include/endivequay/placement.h
+++ b/engine/include/endivequay/placement.h
@@ -69,11 +69,14 @@
     void observe(double seconds);
     /// Whether an attempt that took \a seconds was probably a cache miss, or waited about as long.
     bool looksCold(double seconds) const { return seconds > coldDurationRatio * seconds_; }
+    /// Typical duration at an upstream that has the object cached; 0 before the first attempt.
+    double typicalWarm() const { return typicalRatio * seconds_; }
 
 private:
     /// A cold run takes about three times as long as a warm one; durations of the same kind vary by
     /// a few tenths.
     static constexpr double coldDurationRatio = 2;
+    static constexpr double typicalRatio = 1.2; ///< Typical duration by that of the fast attempts.
     double seconds_ = 0; ///< 0 before the first attempt.
 };
 
--- a/engine/include/endivequay/requestengine.h
+++ b/engine/include/endivequay/requestengine.h
@@ -184,6 +184,7 @@
     struct RouteStats
     {
         WarmDurationEstimate warmDuration;
+        double meanColdSeconds = 0; ///< Moving average of attempts that were cache misses.
         double meanAttemptSeconds
             = 0; ///< Moving average of successful attempts; 0 before the first.
         Interval longestCallerBudget {}; ///< Longest time limit that a caller of the route set.
@@ -197,6 +198,7 @@
         LocalityShare locality;
         std::set<RegionId> spareRegions; ///< Regions that may take requests placed in another one.
         double meanServiceSeconds = 0; ///< Moving average of successful attempts.
+        double meanRunSeconds = 0; ///< The same without the waits at the upstreams.
         int inFlightInRegion = 0; ///< Attempts at upstreams of the local region.
         std::optional<double>
             regionShare; ///< Slots of the local region that this instance may use.
@@ -215,6 +217,7 @@
     ServiceId selectService(const RequestRoute &route, RouteStats &stats);
     std::vector<RegionId> regionsFor(const Request &request, Instant now);
     std::optional<Step> trySend(RequestId requestId, Request &request, Instant now);
+    ExpectedRun expectedRun(const Request &request) const;
     const UpstreamEntry *selectUpstream(const Request &request, Instant now);
     Step sendOrQueue(RequestId requestId, Request &request, Instant now);
     Step refuseOverLimit(RequestId requestId, const Request &request, Instant now);
--- a/engine/include/endivequay/upstreamset.h
+++ b/engine/include/endivequay/upstreamset.h
@@ -35,6 +35,16 @@
     int running = 0;
     int waiting = 0;
     int slots = 0;
+    /// How long work takes at the moment, in percent of the usual: upstreams share their machines.
+    std::optional<int> pacePercent {};
+};
+
+/// Expected durations at an upstream in seconds; 0: unknown.
+struct ExpectedRun
+{
+    double warm = 0; ///< Run of the request where the upstream has its object.
+    double cold = 0; ///< The same elsewhere.
+    double mean = 0; ///< Mean run of the service, for the requests ahead.
 };
 
 /// Result of an attempt at an upstream.
@@ -59,6 +69,8 @@
     int priority = 0; ///< 0 is the most urgent.
     bool allowProbe = false; ///< The request can be repeated and may probe an outlier.
     const std::vector<UpstreamId> *exclude = nullptr; ///< Upstreams that already got the request.
+    ExpectedRun expected {};
+    double remainingObjective = 0; ///< Seconds until the objective is missed; may be negative.
 };
 
 /// The upstreams, and their load and health as observed by this instance. Not thread safe.
@@ -68,6 +80,11 @@
 /// moves few objects. A full primary queues a few requests, because a cold run elsewhere takes
 /// several times as long as a warm one; otherwise cold runs at other upstreams would use up the
 /// slots under high load.
+///
+/// Where upstreams report their pace, the choice is by expected completion: the wait behind the
+/// requests ahead and the run itself, warm or cold, at the reported pace. The primary upstream
+/// stays the choice while it meets the objective. Otherwise a second one takes the overflow, the
+/// same for all instances, which soon has the object as well.
 class UpstreamSet
 {
 public:
@@ -124,6 +141,8 @@
         double otherRequests = 0; ///< Requests of other instances, according to the latest report.
         double meanOtherRequests = 0; ///< Moving average of otherRequests.
         Instant reportedAt;
+        double pace = 1; ///< Duration of work at the latest report, as a multiple of the usual.
+        Instant paceReportedAt;
         double failureRate = 0; ///< Moving average of failed attempts, 0 to 1.
         double slowness = 1; ///< Moving average of relative attempt times.
         int consecutiveFailures = 0;
@@ -142,11 +161,20 @@
         double slownessSum = 0;
         double failureRateSum = 0;
     };
-    /// Primary upstreams of an object; null if there is no healthy upstream.
+    /// The upstreams with the highest scores for an object; null if there are fewer healthy ones.
+    struct TopUpstreams
+    {
+        State *first = nullptr;
+        State *second = nullptr;
+        std::uint64_t firstScore = 0;
+        std::uint64_t secondScore = 0;
+
+        void add(State *state, std::uint64_t score);
+    };
     struct PrimaryUpstreams
     {
-        State *inRegion = nullptr;
-        State *inDomain = nullptr;
+        TopUpstreams inRegion;
+        TopUpstreams inDomain;
     };
 
     State *find(const UpstreamId &id);
@@ -161,6 +189,14 @@
     void updateSums(const ServiceId &service);
     static PrimaryUpstreams primariesFor(
         std::span<State *const> states, const UpstreamQuery &query, Instant now);
+    State *chooseByCompletion(std::span<State *const> states, const PrimaryUpstreams &primaries,
+        const UpstreamQuery &query, Instant now) const;
+    State *soonestOther(
+        std::span<State *const> states, const UpstreamQuery &query, Instant now) const;
+    double expectedCompletion(
+        const State &state, bool warm, const UpstreamQuery &query, Instant now) const;
+    static double currentPace(const State &state, Instant now);
+    bool reportsPace(const ServiceId &service) const { return pacedServices_.contains(service); }
     State *bestWithCapacity(
         std::span<State *const> states, const UpstreamQuery &query, Instant now) const;
     bool mayReceive(State &state, const UpstreamQuery &query, Instant now) const;
@@ -177,6 +213,7 @@
     std::map<ServiceId, Service> services_;
     std::map<ServiceId, ServiceSettings> settings_;
     std::set<FailureDomainId> evacuated_;
+    std::set<ServiceId> pacedServices_; ///< Services with an upstream that reports its pace.
     bool initialized_ = false;
 };
 
--- a/engine/src/requestengine.cpp
+++ b/engine/src/requestengine.cpp
@@ -364,7 +364,11 @@
     services_[request.service].inFlightInRegion -= request.inOwnRegion ? 1 : 0;
     const double time = toSeconds(now - request.sentAt);
     RouteStats &stats = routes_[request.route->id];
-    const double relative = stats.meanAttemptSeconds > 0 ? time / stats.meanAttemptSeconds : 1;
+    const double pace = outcome.occupancy && outcome.occupancy->pacePercent
+        ? std::max(1.0, *outcome.occupancy->pacePercent / 100.0)
+        : 1;
+    const double relative
+        = stats.meanAttemptSeconds > 0 ? time / pace / stats.meanAttemptSeconds : 1;
     if (outcome.result == AttemptResult::Good) {
         updateMean(stats.meanAttemptSeconds, time);
         ServiceState &service = services_[request.service];
@@ -373,6 +377,9 @@
         // The first run of an object at a new primary upstream is cold whether or not the upstream
         // evicts objects.
         const bool cold = stats.warmDuration.looksCold(time);
+        if (cold && !request.sentObjectBefore)
+            updateMean(stats.meanColdSeconds, time);
+        updateMean(service.meanRunSeconds, cold ? time : stats.warmDuration.typicalWarm());
         const bool countsForLocality = !cold || request.sentObjectBefore;
         if (upstreams_.domainOf(*request.currentUpstream) == self_.domain && countsForLocality)
             service.locality.observe(cold, domainMembers_);
--- a/engine/src/requestplacing.cpp
+++ b/engine/src/requestplacing.cpp
@@ -153,18 +153,31 @@
     return regions;
 }
 
+ExpectedRun RequestEngine::expectedRun(const Request &request) const
+{
+    const auto stats = routes_.find(request.route->id);
+    const auto service = services_.find(request.service);
+    if (stats == routes_.end() || service == services_.end())
+        return {};
+    const double warm = stats->second.warmDuration.typicalWarm();
+    return { warm, std::max(warm, stats->second.meanColdSeconds), service->second.meanRunSeconds };
+}
+
 const UpstreamEntry *RequestEngine::selectUpstream(const Request &request, Instant now)
 {
     if (request.regions.empty())
         return nullptr;
     const Interval waited = now - request.arrivedAt;
+    // Ends before the wait for room does: a cold run is better than a refusal.
     const Interval warmWait = std::min(
-        maxWarmWait, fromSeconds(maxWarmWaitFraction * toSeconds(request.route->objective)));
+        { maxWarmWait, fromSeconds(maxWarmWaitFraction * toSeconds(request.route->objective)),
+            (request.waitUntil - request.arrivedAt) / 2 });
     UpstreamQuery query { request.service, {}, self_.domain,
         services_[request.service].locality.covers(request.objectHash), request.objectHash,
         waited < warmWait && request.sends == 0,
         std::max(0, request.priority - (request.callerRetry ? 1 : 0)),
-        request.route->repeatability == Repeatability::Idempotent, &request.tried };
+        request.route->repeatability == Repeatability::Idempotent, &request.tried,
+        expectedRun(request), toSeconds(request.route->objective - waited) };
     const RegionId &preferred = request.regions.front();
     const bool preferredServes = upstreams_.serves(request.service, preferred, now);
     for (const RegionId &region : request.regions) {
--- a/engine/src/upstreamset.cpp
+++ b/engine/src/upstreamset.cpp
@@ -3,8 +3,10 @@
 #include "endivequay/digest.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <iterator>
+#include <utility>
 
 namespace endivequay {
 
@@ -48,6 +50,25 @@
 /// Weight of one report in the mean.
 constexpr double reportWeight = 0.2;
 
+/// The same for upstreams that report their pace: their choice looks a few runs ahead, and an older
+/// report says little about the requests that are there now.
+constexpr Interval pacedReportLifetime = std::chrono::milliseconds(500);
+
+/// Time in which a reported pace loses its weight. It changes many times a second.
+constexpr Interval paceLifetime = std::chrono::milliseconds(400);
+/// Bounds of the weight of one report.
+constexpr double minPace = 1;
+constexpr double maxPace = 4;
+
+/// Requests that an upstream may hold for its objects, as a multiple of its slots, where the choice
+/// is by expected completion.
+constexpr double maxHeldFraction = 2;
+
+/// Limit of the relative duration of one attempt in the moving average. Three of a hundred runs may
+/// take seven times as long; with this limit two of them in a row do not make an outlier.
+constexpr double maxRelativeTime = 6;
+constexpr double minRelativeTime = 0.2;
+
 /// Requests beyond the slots that may queue at an object's primary upstream, as a fraction of the
 /// slots. A warm run takes a third of a cold one, so a short queue there is faster than a free slot
 /// elsewhere.
@@ -250,7 +271,9 @@
 double UpstreamSet::load(const State &state, Instant now) const
 {
     const double age = toSeconds(now - state.reportedAt);
-    const double reportFreshness = std::clamp(1 - age / toSeconds(reportLifetime), 0.0, 1.0);
+    const Interval lifetime
+        = state.paceReportedAt != Instant {} ? pacedReportLifetime : reportLifetime;
+    const double reportFreshness = std::clamp(1 - age / toSeconds(lifetime), 0.0, 1.0);
     const double meanWeight = std::clamp(1 - age / toSeconds(meanReportLifetime), 0.0, 1.0);
     return state.inFlight + reportFreshness * state.otherRequests
         + (1 - reportFreshness) * meanWeight * state.meanOtherRequests;
@@ -284,24 +307,96 @@
     std::span<State *const> states, const UpstreamQuery &query, Instant now)
 {
     PrimaryUpstreams primaries;
-    std::uint64_t regionScore = 0;
-    std::uint64_t domainScore = 0;
     for (State *state : states) {
         if (!acceptsRequests(*state) || state->ejectedUntil > now || state->coldUntil > now
             || isOutlier(*state))
             continue;
         const std::uint64_t score = mixHash(query.objectHash, state->hash);
-        if (primaries.inRegion == nullptr || score > regionScore) {
-            primaries.inRegion = state;
-            regionScore = score;
+        primaries.inRegion.add(state, score);
+        if (state->entry.domain == query.domain)
+            primaries.inDomain.add(state, score);
+    }
+    return primaries;
+}
+
+void UpstreamSet::TopUpstreams::add(State *state, std::uint64_t score)
+{
+    if (first == nullptr || score > firstScore) {
+        second = std::exchange(first, state);
+        secondScore = std::exchange(firstScore, score);
+    } else if (second == nullptr || score > secondScore) {
+        second = state;
+        secondScore = score;
+    }
+}
+
+double UpstreamSet::currentPace(const State &state, Instant now)
+{
+    const double age = toSeconds(now - state.paceReportedAt);
+    return 1 + (state.pace - 1) * std::clamp(1 - age / toSeconds(paceLifetime), 0.0, 1.0);
+}
+
+double UpstreamSet::expectedCompletion(
+    const State &state, bool warm, const UpstreamQuery &query, Instant now) const
+{
+    const double slots = std::max(1, state.entry.slots);
+    const double ahead = std::max(0.0, load(state, now) + 1 - slots);
+    const double run = warm ? query.expected.warm : query.expected.cold;
+    return (ahead / slots * query.expected.mean + run) * currentPace(state, now);
+}
+
+UpstreamSet::State *UpstreamSet::soonestOther(
+    std::span<State *const> states, const UpstreamQuery &query, Instant now) const
+{
+    State *best = nullptr;
+    std::pair<double, std::uint64_t> bestRank;
+    for (State *state : states) {
+        const bool warm = mayHold(*state, query.objectHash, now);
+        if ((query.warmOnly && !warm) || !hasCapacity(*state, query, 0, now))
+            continue;
+        // Of equally fast ones the same for all instances.
+        const std::pair rank { expectedCompletion(*state, warm, query, now),
+            ~mixHash(query.objectHash, state->hash) };
+        if (best == nullptr || rank < bestRank) {
+            best = state;
+            bestRank = rank;
         }
-        if (state->entry.domain == query.domain
-            && (primaries.inDomain == nullptr || score > domainScore)) {
-            primaries.inDomain = state;
-            domainScore = score;
+    }
+    return best;
+}
+
+UpstreamSet::State *UpstreamSet::chooseByCompletion(std::span<State *const> states,
+    const PrimaryUpstreams &primaries, const UpstreamQuery &query, Instant now) const
+{
+    const bool useLocal = query.preferDomain && primaries.inDomain.first != nullptr;
+    const std::array<State *, 4> holders = useLocal
+        ? std::array { primaries.inDomain.first, primaries.inRegion.first,
+              primaries.inDomain.second, primaries.inRegion.second }
+        : std::array<State *, 4> { primaries.inRegion.first, primaries.inRegion.second };
+    State *best = nullptr;
+    double bestTime = 0;
+    for (State *state : holders) {
+        if (state == nullptr
+            || !hasCapacity(*state, query, (maxHeldFraction - 1) * state->entry.slots, now))
+            continue;
+        const bool warm = state == holders.front() || state == primaries.inRegion.first
+            || mayHold(*state, query.objectHash, now);
+        const double time = expectedCompletion(*state, warm, query, now);
+        if (time <= query.remainingObjective)
+            return state;
+        if ((warm || !query.warmOnly) && (best == nullptr || time < bestTime)) {
+            best = state;
+            bestTime = time;
         }
     }
-    return primaries;
+    State *other = soonestOther(states, query, now);
+    if (other == nullptr)
+        return query.warmOnly ? nullptr : best;
+    const double time
+        = expectedCompletion(*other, mayHold(*other, query.objectHash, now), query, now);
+    if (query.warmOnly)
+        return time <= query.remainingObjective ? other : nullptr;
+    return best == nullptr || time < bestTime ? other : best;
 }
 
 UpstreamSet::State *UpstreamSet::bestWithCapacity(
@@ -325,14 +420,18 @@
 {
     const auto states = statesOf(query.service, query.region);
     const PrimaryUpstreams primaries = primariesFor(states, query, now);
-    const bool useLocal = query.preferDomain && primaries.inDomain != nullptr;
-    State *primary = useLocal ? primaries.inDomain : primaries.inRegion;
+    if (query.expected.warm > 0 && reportsPace(query.service)) {
+        const State *state = chooseByCompletion(states, primaries, query, now);
+        return state == nullptr ? nullptr : &state->entry;
+    }
+    const bool useLocal = query.preferDomain && primaries.inDomain.first != nullptr;
+    State *primary = useLocal ? primaries.inDomain.first : primaries.inRegion.first;
     if (primary != nullptr
         && hasCapacity(*primary, query, primaryQueueFraction * primary->entry.slots, now))
         return &primary->entry;
     // Instances of other failure domains keep the object warm there.
-    if (useLocal && hasCapacity(*primaries.inRegion, query, 0, now))
-        return &primaries.inRegion->entry;
+    if (useLocal && hasCapacity(*primaries.inRegion.first, query, 0, now))
+        return &primaries.inRegion.first->entry;
     State *other = bestWithCapacity(states, query, now);
     const bool waitForWarm = query.warmOnly && primary != nullptr && other != nullptr
         && !mayHold(*other, query.objectHash, now);
@@ -415,7 +514,7 @@
         state->consecutiveFailures = 0;
         state->ejections = 0;
         updateMean(state->failureRate, 0);
-        updateMean(state->slowness, std::clamp(relativeTime, 0.2, 10.0));
+        updateMean(state->slowness, std::clamp(relativeTime, minRelativeTime, maxRelativeTime));
         break;
     case AttemptResult::Failed:
         updateMean(state->failureRate, 1);
@@ -447,6 +546,11 @@
     // The report and inFlight both count the reporting request.
     state->otherRequests = std::max(0, occupancy.running + occupancy.waiting - state->inFlight);
     state->reportedAt = now;
+    if (occupancy.pacePercent) {
+        state->pace = std::clamp(*occupancy.pacePercent / 100.0, minPace, maxPace);
+        state->paceReportedAt = now;
+        pacedServices_.insert(state->entry.service);
+    }
     state->meanOtherRequests += reportWeight * (state->otherRequests - state->meanOtherRequests);
 }
 
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -17,6 +17,10 @@
 /// Interval between timeout checks of all caller connections; short compared with the timeouts.
 constexpr Interval sweepInterval = std::chrono::milliseconds(250);
 
+/// Largest plausible figures of an occupancy report.
+constexpr std::int64_t maxReportedCount = 1'000'000;
+constexpr std::int64_t maxPacePercent = 10'000;
+
 std::optional<std::int64_t> parseNumber(std::string_view text)
 {
     std::int64_t number = 0;
@@ -28,17 +32,22 @@
 
 std::optional<Occupancy> parseOccupancy(std::string_view text)
 {
-    std::array<std::int64_t, 3> numbers {};
-    for (std::int64_t &number : numbers) {
+    const auto next = [&](std::int64_t least, std::int64_t most) -> std::optional<int> {
         const std::string_view part = text.substr(0, text.find(','));
         text.remove_prefix(std::min(text.size(), part.size() + 1));
         const auto parsed = parseNumber(part);
-        if (!parsed || *parsed < 0 || *parsed > 1'000'000)
+        if (!parsed || *parsed < least || *parsed > most)
+            return std::nullopt;
+        return static_cast<int>(*parsed);
+    };
+    std::array<int, 3> numbers {};
+    for (int &number : numbers) {
+        const auto parsed = next(0, maxReportedCount);
+        if (!parsed)
             return std::nullopt;
         number = *parsed;
     }
-    return Occupancy { static_cast<int>(numbers[0]), static_cast<int>(numbers[1]),
-        static_cast<int>(numbers[2]) };
+    return Occupancy { numbers[0], numbers[1], numbers[2], next(1, maxPacePercent) };
 }
 
 std::string hostOf(const HttpMessage &request)
