Test untrusted clients against a real process

Thirty connections send bodies of 8 MB, the limit of the test, and most stop short of their end. Bound: 96 MB, 200 descriptors, and one ordinary request is answered.

--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -123,7 +123,8 @@
                  f"port = {self.deployment.port + 4}", *text, "link-mbps = 1000", "core-share = 0.2",
                  "core-speed = 1", f"first-start = {'true' if self.first_start else 'false'}",
                  *(f"region-of = {zone}={region}" for zone, region in ZONES.items()),
-                 *(f"seed = {seed}" for seed in self.seeds), *(f"bound = {bound}" for bound in BOUNDS)]
+                 *(f"seed = {seed}" for seed in self.seeds), *(f"bound = {bound}" for bound in BOUNDS),
+                 *self.deployment.extra_settings]
         self.settings.write_text("\n".join(lines) + "\n")
 
     async def supervise(self) -> None:
@@ -185,6 +186,7 @@
         self.backends: list[Backend] = []
         self.tasks: list[asyncio.Task] = []
         self.nodes_per_zone = nodes_per_zone
+        self.extra_settings: list[str] = []  # Lines added to the settings of each process.
 
     def ip(self, group: int, index: int) -> str:
         return f"127.{self.octet}.{group}.{index + 1}"
@@ -221,7 +223,8 @@
             await asyncio.sleep(0.01)
 
     async def configure(self, version: int, routes: list[tuple[str, str, str]], keys: list[str] | None = None,
-                        homes: dict[str, list[str]] | None = None, timeout_s: float = 30.0) -> None:
+                        homes: dict[str, list[str]] | None = None, timeout_s: float = 30.0,
+                        max_body_bytes: int = 67108864) -> None:
         """Writes a configuration; routes are (prefix, kind, service)."""
         columns = ["name", "host", "prefix", "kind", "timeout_s", "goal_s", "prio", "split", "attempts", "public",
                    "sticky", "home_regions", "service"]
@@ -234,7 +237,7 @@
                          "rows": [[service, "/health", 330, "h1", False, 3.0, 15.0] for service in services]},
             "tenants": {"cols": ["name", "api_keys", "prio", "rate_per_s", "burst", "home_regions"],
                         "rows": [[TENANT, keys or [KEY], None, 0, 0, []]]},
-            "limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_s": 3, "idle_s": 15}})
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": max_body_bytes, "header_s": 3, "idle_s": 15}})
         self.record.write(f"operator: configuration r{version} is acknowledged, routes {routes}, keys {keys or [KEY]}")
 
     async def wait_ready(self, seconds: float = 20) -> bool:
