Bound what connections hold, and refuse what does not fit

Cause: request bodies were held without a common limit, up to three times each (request, copy for the upstream, serialized bytes), and the parser kept the memory of a message that had been refused. Clients with many bodies of legal size ended the process.

Requests in work keep their memory. Chunk framing and callers' connections are limited. Status codes outside 100 to 599 are no response.

--- a/core/include/endivequay/events.h
+++ b/core/include/endivequay/events.h
@@ -89,6 +89,7 @@
     AttemptEnded = 425,
     CallerLeft = 426,
     RequestWaits = 427,
+    CallerRejected = 428,
     UpstreamEjected = 440,
     UpstreamRestored = 441,
     UpstreamDraining = 442,
--- a/engine/include/endivequay/fleetquota.h
+++ b/engine/include/endivequay/fleetquota.h
@@ -87,6 +87,9 @@
     /// times the limit.
     static constexpr Interval demandDelay = std::chrono::milliseconds(1250);
     static constexpr Interval demandDelayLargeFleet = std::chrono::milliseconds(2250);
+    /// Mean age of the demand of another region in a large fleet: half of a digest's interval and
+    /// the way over two relays. The regions divide a limit by what all of them know.
+    static constexpr Interval regionReportAge = std::chrono::milliseconds(1500);
 
     /// Bounds of the retry time. Callers retry only once, so a retry must not come before shares
     /// and reserve owners have adapted to a change.
@@ -194,8 +197,10 @@
     Share *find(DemandKey team);
     /// An instance with the hash of its name.
     using OwnerCandidate = std::pair<InstanceId, std::uint64_t>;
+    using RegionalDemand = std::map<RegionId, DemandReport>;
     /// Demand over time, oldest first.
     using DemandHistory = std::deque<std::pair<Instant, DemandReport>>;
+    using RegionalDemandHistory = std::deque<std::pair<Instant, RegionalDemand>>;
 
     /// Records \a current and returns the demand that the other instances have received by now.
     static DemandReport propagatedDemand(
@@ -203,11 +208,13 @@
     Members countMembers(std::span<const PeerView> peers, bool byRegion, Instant now) const;
     static InstanceId ownerOf(DemandKey team, const std::vector<OwnerCandidate> &candidates);
     void updateShare(Share &share, const TeamSettings &team, const Members &members,
-        const DemandReport &own, const DemandReport &region, bool isNew, Instant now);
+        const DemandReport &own, const RegionalDemand &regions, bool isNew, Instant now);
+    /// Demand by region that all regions know by now. Empty shortly after the start.
+    RegionalDemand commonDemand(const Members &members, const DemandReport &own, Instant now);
     InstanceId remoteOwnerOf(const Share &share, const Members &members) const;
 
     DemandHistory ownDemands_;
-    DemandHistory regionDemands_;
+    RegionalDemandHistory regionDemands_;
     std::map<TeamId, Share> shares_;
     std::map<RegionId, std::vector<OwnerCandidate>>
         ownerCandidates_; ///< Possible reserve owners by region; in a small fleet in one entry.
--- a/engine/include/endivequay/placement.h
+++ b/engine/include/endivequay/placement.h
@@ -24,8 +24,29 @@
 
 /// Serves the demand of \a origin locally as far as there is capacity, and sends the rest to other
 /// regions in proportion to their spare capacity. All instances compute the same shares from the
-/// same loads.
-PlacementShares balancedShares(const RegionId &origin, const std::map<RegionId, RegionLoad> &loads);
+/// same loads. \a localFraction reduces the part that is served locally, see LocalCapacity.
+PlacementShares balancedShares(
+    const RegionId &origin, const std::map<RegionId, RegionLoad> &loads, double localFraction = 1);
+
+/// Corrects the part of the demand that the local region can serve by the measured load of its
+/// upstreams. Not thread safe.
+///
+/// The demand alone does not tell it: requests that only this region may serve come from other
+/// regions as well, and where they fill the caches, runs take several times as long.
+class LocalCapacity
+{
+public:
+    /// \a utilization is the measured number of requests at the upstreams by their slots.
+    void observe(double utilization);
+    double fraction() const { return fraction_; }
+
+private:
+    static constexpr double overloadedFrom = 0.95; ///< Utilization; above it requests queue.
+    static constexpr double growsBelow = 0.8;
+    static constexpr double step = 0.03; ///< For each rebalance: an eighth in a second.
+    static constexpr double minFraction = 0.02; ///< Keeps some requests local as a measurement.
+    double fraction_ = 1;
+};
 
 /// Regions that have capacity left once they serve the demand that arrives in them. An instance
 /// sees only its own requests at the upstreams of a region that is short of capacity, so many
--- a/engine/include/endivequay/requestengine.h
+++ b/engine/include/endivequay/requestengine.h
@@ -196,6 +196,7 @@
         Placement placement;
         FleetRetryBudget budget;
         LocalityShare locality;
+        LocalCapacity localCapacity;
         std::set<RegionId> spareRegions; ///< Regions that may take requests placed in another one.
         double meanServiceSeconds = 0; ///< Moving average of successful attempts.
         double meanRunSeconds = 0; ///< The same without the waits at the upstreams.
--- a/engine/include/endivequay/upstreamset.h
+++ b/engine/include/endivequay/upstreamset.h
@@ -112,6 +112,10 @@
     /// Total slots, free or occupied, of the healthy upstreams of a region; cold upstreams and
     /// outliers are not counted.
     double slots(const ServiceId &service, const RegionId &region, Instant now) const;
+    /// Requests at the upstreams that slots() counts, as a fraction of their slots. Nothing if they
+    /// do not report their pace.
+    std::optional<double> utilization(
+        const ServiceId &service, const RegionId &region, Instant now) const;
     /// Whether the service has any usable upstream in the region, with or without free capacity.
     bool serves(const ServiceId &service, const RegionId &region, Instant now) const;
     /// Regions with upstreams of \a service.
@@ -181,6 +185,7 @@
     const State *find(const UpstreamId &id) const;
     static bool acceptsRequests(const State &state);
     static bool isOutlier(const State &state);
+    static bool countsAsCapacity(const State &state, Instant now);
     static double boundedSlowness(const State &state);
     /// The upstreams of \a service in \a region.
     std::span<State *const> statesOf(const ServiceId &service, const RegionId &region) const;
--- a/engine/src/fleetquota.cpp
+++ b/engine/src/fleetquota.cpp
@@ -136,13 +136,7 @@
     const Members members = countMembers(peers, byRegion, now);
     const Interval delay = byRegion ? demandDelayLargeFleet : demandDelay;
     const DemandReport ownPropagated = propagatedDemand(ownDemands_, own, delay, now);
-    const RegionId localRegion = byRegion ? region_ : RegionId {};
-    DemandReport region = own;
-    const auto others = members.demandByRegion.find(localRegion);
-    if (others != members.demandByRegion.end())
-        for (const auto &[key, rate] : others->second)
-            region[key] += rate;
-    const DemandReport regionPropagated = propagatedDemand(regionDemands_, region, delay, now);
+    const RegionalDemand regions = commonDemand(members, own, now);
     if (members.candidates != ownerCandidates_)
         ++candidatesVersion_;
     ownerCandidates_ = members.candidates;
@@ -152,15 +146,38 @@
             continue;
         const auto known = shares_.find(team.id);
         Share share = known == shares_.end() ? Share {} : known->second;
-        updateShare(
-            share, team, members, ownPropagated, regionPropagated, known == shares_.end(), now);
+        updateShare(share, team, members, ownPropagated, regions, known == shares_.end(), now);
         shares.emplace(team.id, share);
     }
     shares_ = std::move(shares);
 }
 
+FleetQuota::RegionalDemand FleetQuota::commonDemand(
+    const Members &members, const DemandReport &own, Instant now)
+{
+    const RegionId localRegion = members.isLarge() ? region_ : RegionId {};
+    RegionalDemand current = members.demandByRegion;
+    for (const auto &[key, rate] : own)
+        current[localRegion][key] += rate;
+    regionDemands_.emplace_back(now, std::move(current));
+    const auto isOld = [&](const auto &entry, Interval age) { return entry.first <= now - age; };
+    while (regionDemands_.size() > 1 && isOld(regionDemands_[1], demandDelayLargeFleet))
+        regionDemands_.pop_front();
+    if (!isOld(regionDemands_.front(), demandDelayLargeFleet))
+        return {};
+    // What other regions report is older than what is measured in this one.
+    const Interval remoteDelay = demandDelayLargeFleet - regionReportAge;
+    const auto remote = std::find_if(regionDemands_.rbegin(), regionDemands_.rend(),
+        [&](const auto &entry) { return isOld(entry, remoteDelay); });
+    RegionalDemand common = remote->second;
+    const auto local = regionDemands_.front().second.find(localRegion);
+    common[localRegion]
+        = local == regionDemands_.front().second.end() ? DemandReport {} : local->second;
+    return common;
+}
+
 void FleetQuota::updateShare(Share &share, const TeamSettings &team, const Members &members,
-    const DemandReport &own, const DemandReport &region, bool isNew, Instant now)
+    const DemandReport &own, const RegionalDemand &regions, bool isNew, Instant now)
 {
     const RegionId localRegion = members.isLarge() ? region_ : RegionId {};
     const std::size_t staleCount = members.all - members.fresh;
@@ -180,13 +197,15 @@
     const double refill = team.rate.value() + spreadBurstFraction * team.burst.value() / window;
     const double depth = grantedDepthFraction * (allowed - refill * window);
     const double localFraction = (1 - reserveShare) * share.fraction;
-    // Demand of the other regions, with the demand of this one that they have received.
-    double fleetDemand = demandOf(region, share.key);
-    for (const auto &[id, report] : members.demandByRegion)
-        fleetDemand += id == localRegion ? 0 : demandOf(report, share.key);
+    double regionDemand = 0;
+    double regionsDemand = 0;
+    for (const auto &[id, report] : regions) {
+        regionsDemand += demandOf(report, share.key);
+        regionDemand += id == localRegion ? demandOf(report, share.key) : 0;
+    }
     const double reserveScale = reserveShare
-        * regionShareOfLimit(demandOf(region, share.key), members.presentByRegion.at(localRegion),
-            fleetDemand, members.present, members.all - members.present);
+        * regionShareOfLimit(regionDemand, members.presentByRegion.at(localRegion), regionsDemand,
+            members.present, members.all - members.present);
     // New shares start full. If all instances restart at once, this grants their depth twice,
     // which is covered by the part of the depth that is never granted.
     if (isNew) {
--- a/engine/src/placement.cpp
+++ b/engine/src/placement.cpp
@@ -37,7 +37,8 @@
 
 } // namespace
 
-PlacementShares balancedShares(const RegionId &origin, const std::map<RegionId, RegionLoad> &loads)
+PlacementShares balancedShares(
+    const RegionId &origin, const std::map<RegionId, RegionLoad> &loads, double localFraction)
 {
     const auto own = loads.find(origin);
     if (own == loads.end()
@@ -46,7 +47,7 @@
     const double utilization = evenUtilization(loads);
     const double localShare = own->second.demand <= 0
         ? (own->second.slots > 0 ? 1.0 : 0.0)
-        : std::min(1.0, usableSlots(own->second, utilization) / own->second.demand);
+        : localFraction * std::min(1.0, usableSlots(own->second, utilization) / own->second.demand);
     double spare = 0;
     for (const auto &[region, load] : loads)
         spare += region == origin ? 0 : std::max(0.0, usableSlots(load, utilization) - load.demand);
@@ -60,6 +61,14 @@
     return shares;
 }
 
+void LocalCapacity::observe(double utilization)
+{
+    if (utilization > overloadedFrom)
+        fraction_ = std::max(minFraction, fraction_ * (1 - step));
+    else if (utilization < growsBelow)
+        fraction_ = std::min(1.0, fraction_ * (1 + step));
+}
+
 std::set<RegionId> regionsWithSpareCapacity(const std::map<RegionId, RegionLoad> &loads)
 {
     const double utilization = evenUtilization(loads);
--- a/engine/src/requestplacing.cpp
+++ b/engine/src/requestplacing.cpp
@@ -123,8 +123,12 @@
         if (!upstreams_.regions(service.id).empty()) {
             ServiceState &state = services_[service.id];
             const auto loads = loadsOf(service.id, own, now);
-            state.placement.moveToward(balancedShares(self_.region, loads), now);
             state.spareRegions = regionsWithSpareCapacity(loads);
+            const auto used = upstreams_.utilization(service.id, self_.region, now);
+            if (used && !state.spareRegions.contains(self_.region))
+                state.localCapacity.observe(*used);
+            state.placement.moveToward(
+                balancedShares(self_.region, loads, state.localCapacity.fraction()), now);
             state.regionShare = regionShare(service.id, own, now);
         }
 }
--- a/engine/src/upstreamset.cpp
+++ b/engine/src/upstreamset.cpp
@@ -64,6 +64,10 @@
 /// is by expected completion.
 constexpr double maxHeldFraction = 2;
 
+/// Expected completion at the primary upstream, as a multiple of an undelayed run, up to which
+/// other upstreams are not considered.
+constexpr double maxUndelayedRatio = 1.3;
+
 /// Limit of the relative duration of one attempt in the moving average. Three of a hundred runs may
 /// take seven times as long; with this limit two of them in a row do not make an outlier.
 constexpr double maxRelativeTime = 6;
@@ -150,6 +154,12 @@
         || state.slowness > outlierSlowness * std::max(1.0, slowness);
 }
 
+bool UpstreamSet::countsAsCapacity(const State &state, Instant now)
+{
+    return acceptsRequests(state) && state.ejectedUntil <= now && state.coldUntil <= now
+        && !isOutlier(state);
+}
+
 double UpstreamSet::boundedSlowness(const State &state)
 {
     return std::min(state.slowness, maxSlownessInMean);
@@ -381,14 +391,19 @@
             continue;
         const bool warm = state == holders.front() || state == primaries.inRegion.first
             || mayHold(*state, query.objectHash, now);
+        if (!warm && query.warmOnly)
+            continue;
         const double time = expectedCompletion(*state, warm, query, now);
-        if (time <= query.remainingObjective)
+        // The first one keeps the object unless the wait there is long compared with the run.
+        if (state == holders.front() && time <= maxUndelayedRatio * query.expected.warm)
             return state;
-        if ((warm || !query.warmOnly) && (best == nullptr || time < bestTime)) {
+        if (best == nullptr || time < bestTime) {
             best = state;
             bestTime = time;
         }
     }
+    if (best != nullptr && bestTime <= query.remainingObjective)
+        return best;
     State *other = soonestOther(states, query, now);
     if (other == nullptr)
         return query.warmOnly ? nullptr : best;
@@ -460,12 +475,24 @@
 {
     double sum = 0;
     for (const State *state : statesOf(service, region))
-        if (acceptsRequests(*state) && state->ejectedUntil <= now && state->coldUntil <= now
-            && !isOutlier(*state))
+        if (countsAsCapacity(*state, now))
             sum += state->entry.slots;
     return sum;
 }
 
+std::optional<double> UpstreamSet::utilization(
+    const ServiceId &service, const RegionId &region, Instant now) const
+{
+    const double all = slots(service, region, now);
+    if (all <= 0 || !reportsPace(service))
+        return std::nullopt;
+    double requests = 0;
+    for (const State *state : statesOf(service, region))
+        if (countsAsCapacity(*state, now))
+            requests += load(*state, now);
+    return requests / all;
+}
+
 std::vector<RegionId> UpstreamSet::regions(const ServiceId &service) const
 {
     const auto found = services_.find(service);
--- a/gateway/include/endivequay/edgeclient.h
+++ b/gateway/include/endivequay/edgeclient.h
@@ -1,6 +1,7 @@
 #ifndef ENDIVEQUAY_EDGECLIENT_H
 #define ENDIVEQUAY_EDGECLIENT_H
 
+#include "endivequay/bytebudget.h"
 #include "endivequay/clock.h"
 #include "endivequay/httpmessage.h"
 #include "endivequay/types.h"
@@ -33,6 +34,8 @@
     std::string idField {};
     std::string id {};
     std::string notRunField {};
+    /// Body that follows bytes; shared, because the request may be sent again.
+    std::shared_ptr<const std::string> body {};
 };
 
 /// Outcome of a call.
@@ -70,6 +73,8 @@
             1500); ///< TCP_USER_TIMEOUT: unacknowledged data closes the connection.
         Interval idleTimeout = std::chrono::seconds(8); ///< Or less if the server announces less.
         std::size_t maxIdlePerAddress = 24;
+        ByteBudget *budget
+            = nullptr; ///< Counts the unfinished responses; null: they are not counted.
     };
     using Callback = std::function<void(CallResult &&)>;
 
--- a/gateway/include/endivequay/edgeserver.h
+++ b/gateway/include/endivequay/edgeserver.h
@@ -1,6 +1,7 @@
 #ifndef ENDIVEQUAY_EDGESERVER_H
 #define ENDIVEQUAY_EDGESERVER_H
 
+#include "endivequay/bytebudget.h"
 #include "endivequay/clock.h"
 #include "endivequay/httpmessage.h"
 #include "endivequay/result.h"
@@ -28,6 +29,7 @@
     HttpLimits message;
     Interval headerTimeout = std::chrono::seconds(3);
     Interval idleTimeout = std::chrono::seconds(15);
+    std::size_t maxConnections = 0; ///< 0: no limit.
 };
 
 /// HTTP/1.1 server on an event loop.
@@ -36,7 +38,10 @@
 /// within a round trip. Pipelined requests run concurrently and are answered in order. A request
 /// for which isIdempotent() is false starts only when no earlier request of its connection is open:
 /// after a response that closes the connection, clients resend the requests pipelined behind it.
-/// Not thread safe.
+///
+/// Clients are not trusted. What connections hold counts toward a budget; while it is short, the
+/// unfinished body that stalls, of the client with most of them, loses its place, and otherwise the
+/// new one is refused as not run. A request that has started keeps its memory. Not thread safe.
 class EdgeServer
 {
 public:
@@ -46,6 +51,9 @@
         std::function<void(ExchangeId)> clientDisconnected; ///< Disconnect before the response.
         std::function<bool(const HttpMessage &)> isIdempotent;
         std::function<Instant()> now;
+        /// A request was refused before it started, or its connection closed; for the metrics.
+        std::function<void(std::string_view cause)> rejected {};
+        ByteBudget *budget = nullptr; ///< Memory for messages; null: no limit.
     };
 
     /// Port 0 selects any free port.
@@ -54,7 +62,7 @@
     ~EdgeServer();
 
     /// Sends the response of \a exchange; ignored if its client has disconnected.
-    void respond(ExchangeId exchange, const HttpMessage &response);
+    void respond(ExchangeId exchange, HttpMessage response);
     /// Closes the connection of \a exchange without a response.
     void abort(ExchangeId exchange);
 
@@ -78,6 +86,11 @@
 
     EdgeServer(asio::io_context &loop, ServerLimits limits, Handlers handlers);
     void accept();
+    void accepted(asio::ip::tcp::socket socket);
+    /// Refuses the unfinished request that stalls and whose client has the most unfinished ones,
+    /// but not that of \a needy. Returns false if there is none.
+    bool reclaimMemory(const Connection &needy);
+    void countRejected(std::string_view cause) const;
 
     asio::ip::tcp::acceptor acceptor_;
     ServerLimits limits_;
--- a/gateway/include/endivequay/entrynode.h
+++ b/gateway/include/endivequay/entrynode.h
@@ -59,6 +59,7 @@
     Gateway &gateway() { return *gateway_; }
     TrafficMetrics &metrics() { return metrics_; }
     LoopMonitor &loopMonitor() { return loopMonitor_; }
+    ByteBudget &budget() { return budget_; }
     EdgeClient &stateClient() { return stateClient_; }
 
     /// Applies a newly decoded control state to the peer table and the request engine.
@@ -107,6 +108,7 @@
     void logStateChanges(const ControlState &state, Instant now);
 
     EntrySettings settings_;
+    ByteBudget budget_; ///< Before the connections, which give their part back.
     asio::io_context &loop_;
     SteadyClock clock_;
     MemberRecord self_;
@@ -214,7 +216,11 @@
                      servers_[index]->respond(id, handleRequest(request));
                  },
                     [](ExchangeId) {}, [](const HttpMessage &) { return true; },
-                    [this] { return core_.now(); } });
+                    [this] { return core_.now(); },
+                    [this](std::string_view cause) {
+                        core_.metrics().count("endivequay_rejected_total", "cause", cause);
+                    },
+                    &core_.budget() });
             if (!server)
                 return server.lastReason();
             servers_.push_back(*std::move(server));
--- a/gateway/include/endivequay/entrysettings.h
+++ b/gateway/include/endivequay/entrysettings.h
@@ -27,6 +27,8 @@
     Address store;
     double linkMbps = 0; ///< Bandwidth of the machine in Mbit/s; 0: unknown.
     double cores = 0; ///< Processor cores of the machine, with fractions; 0: unknown.
+    std::size_t memoryBytes = 0; ///< Memory of the machine; 0: unknown.
+    std::size_t descriptors = 0; ///< Descriptors that the process may open; 0: unknown.
     std::vector<Address> seeds; ///< Control addresses of initial peers; may be stale.
     bool firstStart = false; ///< Initial start of the fleet: no peer has state.
     RetryBudgetLimits budget;
--- a/gateway/include/endivequay/gateway.h
+++ b/gateway/include/endivequay/gateway.h
@@ -42,6 +42,9 @@
         TrafficMetrics &metrics;
         std::function<Instant()> now;
         std::function<void()> sendTokenRequests; ///< Called when the engine may have queued some.
+        ByteBudget *budget = nullptr; ///< Memory for messages; null: no limit.
+        std::size_t maxConnections = 0; ///< Of callers; 0: no limit.
+        std::size_t maxResponseBytes = 0; ///< Of all unfinished responses; 0: the client's default.
     };
 
     static Result<std::unique_ptr<Gateway>> listen(
@@ -65,7 +68,8 @@
 private:
     struct Exchange
     {
-        HttpMessage request;
+        HttpMessage request; ///< Without the body.
+        std::shared_ptr<const std::string> body;
         std::string requestId;
         CallId call = 0;
         SendToUpstream order;
@@ -92,8 +96,8 @@
     AttemptOutcome interpret(Exchange &exchange, CallResult &&end) const;
     void respondLocally(ExchangeId id, const LocalResponse &own);
     void forwardResponse(ExchangeId id);
-    void finish(ExchangeId id, const HttpMessage &response, std::string_view cause,
-        std::string_view inputs = {});
+    void finish(
+        ExchangeId id, HttpMessage response, std::string_view cause, std::string_view inputs = {});
 
     Parts parts_;
     EdgeHeaders headers_;
--- a/gateway/include/endivequay/httpmessage.h
+++ b/gateway/include/endivequay/httpmessage.h
@@ -52,6 +52,8 @@
 
 /// Serialize as HTTP/1.1 with Content-Length. \a keepAlive false adds "Connection: close".
 std::string serializeRequest(const HttpMessage &message);
+/// The same without the body, which has \a bodyBytes and follows.
+std::string serializeRequestHead(const HttpMessage &message, std::size_t bodyBytes);
 std::string serializeResponse(const HttpMessage &message, bool keepAlive, bool withBody = true);
 
 struct HttpLimits
@@ -99,6 +101,7 @@
     int onHeaderComplete();
     int onBody(std::string_view part);
     int onComplete();
+    bool exceedsFraming() const;
 
     const Kind kind_;
     const HttpLimits limits_;
@@ -106,6 +109,7 @@
     HttpMessage message_;
     State state_ = State::Reading;
     std::size_t headerBytes_ = 0;
+    std::size_t fedBytes_ = 0; ///< All bytes of the message so far.
     bool started_ = false;
     bool headerComplete_ = false;
     bool lastWasValue_ = true;
--- a/gateway/src/edgeclient.cpp
+++ b/gateway/src/edgeclient.cpp
@@ -60,6 +60,7 @@
         , address_(std::move(address))
         , socket_(client.loop_)
         , parser_(HttpParser::Kind::Response, client.limits_.message)
+        , held_(client.limits_.budget)
     { }
 
     void connect(const asio::ip::tcp::endpoint &endpoint)
@@ -104,6 +105,8 @@
         done_ = std::move(done);
         recentIds_[nextRecentId_++ % recentCallCount] = hash64(call_.id);
         output_ = std::move(call_.bytes);
+        body_ = std::move(call_.body);
+        writtenBytes_ = 0;
         sent_ = false;
         skippedResponses_ = 0;
         resetParser();
@@ -173,18 +176,28 @@
 
     void write()
     {
-        if (closed_ || writing_ || output_.empty())
+        if (closed_ || writing_ || unwrittenBytes() == 0)
             return;
         asio::error_code error;
-        const std::size_t written = socket_.write_some(asio::buffer(output_), error);
+        const std::string_view head
+            = std::string_view(output_).substr(std::min(writtenBytes_, output_.size()));
+        const std::string_view body = body_ == nullptr
+            ? std::string_view {}
+            : std::string_view(*body_).substr(writtenBytes_ - (output_.size() - head.size()));
+        const std::array buffers { asio::buffer(head), asio::buffer(body) };
+        const std::size_t written = socket_.write_some(buffers, error);
         if (error && error != asio::error::would_block && error != asio::error::try_again) {
             failAsync(CallResult::Kind::Broken, error.message());
             return;
         }
         sent_ = sent_ || written > 0;
-        output_.erase(0, written);
-        if (output_.empty())
+        writtenBytes_ += written;
+        if (unwrittenBytes() == 0) {
+            body_.reset();
+            output_.clear();
+            writtenBytes_ = 0;
             return;
+        }
         writing_ = true;
         socket_.async_wait(asio::ip::tcp::socket::wait_write,
             [self = shared_from_this()](const asio::error_code &waitError) {
@@ -194,6 +207,11 @@
             });
     }
 
+    std::size_t unwrittenBytes() const
+    {
+        return output_.size() + (body_ == nullptr ? 0 : body_->size()) - writtenBytes_;
+    }
+
     void read()
     {
         if (closed_ || reading_)
@@ -272,6 +290,7 @@
     {
         client_.bufferedBytes_ += bytes - bufferedBytes_;
         bufferedBytes_ = bytes;
+        held_.force(bytes);
     }
 
     bool exceedsBuffer() const
@@ -301,7 +320,7 @@
         CallResult result { CallResult::Kind::Response, true, std::move(parser_.message()), {} };
         const Callback done = std::move(done_);
         // After a response that precedes the end of the request the connection state is unknown.
-        const bool reusable = result.response.keepAlive && !hasExcessBytes && output_.empty();
+        const bool reusable = result.response.keepAlive && !hasExcessBytes && unwrittenBytes() == 0;
         const Interval serverTimeout
             = serverIdleTimeout(result.response).value_or(client_.limits_.idleTimeout + idleMargin);
         idleUntil_
@@ -323,6 +342,8 @@
     HttpParser parser_;
     std::array<char, readBufferBytes> readBuffer_ {};
     std::string output_;
+    std::shared_ptr<const std::string> body_; ///< Follows output_.
+    std::size_t writtenBytes_ = 0; ///< Of output_ and body_.
     std::array<std::uint64_t, recentCallCount> recentIds_ {}; ///< Hashes; a ring buffer.
     std::size_t nextRecentId_ = 0;
     CallId id_ = 0; ///< 0: idle.
@@ -331,6 +352,7 @@
     Instant connectDeadline_;
     Instant idleUntil_;
     std::size_t bufferedBytes_ = 0; ///< Body of the unfinished response.
+    ByteReservation held_; ///< The same bytes.
     int skippedResponses_ = 0; ///< For the current call.
     bool isFirstCall_ = true; ///< No response was completed on this connection.
     bool connected_ = false;
--- a/gateway/src/entrycore.cpp
+++ b/gateway/src/entrycore.cpp
@@ -20,6 +20,18 @@
     return counts;
 }
 
+/// Part of the machine's memory for unfinished responses of upstreams.
+constexpr std::size_t responseMemoryPart = 8;
+
+/// Callers may use half of the descriptors that are not reserved for files; the rest is for
+/// upstreams.
+constexpr std::size_t reservedDescriptors = 200;
+
+std::size_t connectionLimit(std::size_t descriptors)
+{
+    return descriptors > 2 * reservedDescriptors ? (descriptors - reservedDescriptors) / 2 : 0;
+}
+
 std::uint64_t generateIncarnation()
 {
     std::random_device device;
@@ -30,6 +42,7 @@
 
 EntryCore::EntryCore(EntrySettings settings, asio::io_context &loop)
     : settings_(std::move(settings))
+    , budget_(ByteBudget::limitForMemory(settings_.memoryBytes))
     , loop_(loop)
     , self_ { settings_.name, settings_.domain, settings_.region, settings_.callers,
         settings_.control, settings_.heartbeats, generateIncarnation(), settings_.linkMbps,
@@ -56,8 +69,10 @@
             { "grace_s", toSeconds(settings_.shutdownGracePeriod) },
             { "retry_ratio", settings_.budget.ratio }, { "retry_slack", settings_.budget.slack },
             { "limit_slack", settings_.quota.slack }, { "cores", settings_.cores } });
-    auto gateway = Gateway::listen({ loop_, engine_, log_, metrics_, [this] { return now(); },
-                                       [this] { sendTokenRequests(); } },
+    auto gateway = Gateway::listen(
+        { loop_, engine_, log_, metrics_, [this] { return now(); }, [this] { sendTokenRequests(); },
+            &budget_, connectionLimit(settings_.descriptors),
+            settings_.memoryBytes / responseMemoryPart },
         headers, settings_.callers);
     if (!gateway)
         return gateway.lastReason();
@@ -158,6 +173,7 @@
         engine_.table() == nullptr ? 0 : static_cast<double>(engine_.table()->version().value()));
     snapshot.set("endivequay_state_revision", static_cast<double>(replica_.asOf().value()));
     snapshot.set("endivequay_open_requests", static_cast<double>(engine_.openRequests()));
+    snapshot.set("endivequay_message_bytes", static_cast<double>(budget_.used()));
     snapshot.set("endivequay_connections", static_cast<double>(gateway_->connectionCount()));
     snapshot.set("endivequay_upstream_connections_opened",
         static_cast<double>(gateway_->openedUpstreamConnections()));
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -96,6 +96,15 @@
     return "cancelled";
 }
 
+EdgeClient::Limits clientLimits(ByteBudget *budget, std::size_t maxResponseBytes)
+{
+    EdgeClient::Limits limits;
+    limits.budget = budget;
+    if (maxResponseBytes > 0)
+        limits.bufferedBytes = maxResponseBytes;
+    return limits;
+}
+
 double toMillis(Interval interval)
 {
     return toSeconds(interval) * 1000;
@@ -106,7 +115,7 @@
 Gateway::Gateway(Parts parts, EdgeHeaders headers)
     : parts_(std::move(parts))
     , headers_(std::move(headers))
-    , client_(parts_.loop, {}, parts_.now)
+    , client_(parts_.loop, clientLimits(parts_.budget, parts_.maxResponseBytes), parts_.now)
 { }
 
 Result<std::unique_ptr<Gateway>> Gateway::listen(
@@ -120,7 +129,14 @@
          },
             [self](ExchangeId id) { self->handleDisconnect(id); },
             [self](const HttpMessage &request) { return self->isIdempotent(request); },
-            self->parts_.now });
+            self->parts_.now,
+            [self](std::string_view cause) {
+                self->parts_.metrics.count("endivequay_rejected_total", "cause", cause);
+                self->parts_.log.write(EventId::CallerRejected, cause, self->parts_.now(),
+                    { { "cause", cause },
+                        { "held_bytes", self->parts_.budget ? self->parts_.budget->used() : 0 } });
+            },
+            self->parts_.budget });
     if (!server)
         return server.lastReason();
     gateway->server_ = *std::move(server);
@@ -129,8 +145,8 @@
 
 void Gateway::setLimits(const CallerLimits &limits)
 {
-    server_->setLimits(
-        { { limits.headerBytes, limits.bodyBytes }, limits.headerTimeout, limits.idleTimeout });
+    server_->setLimits({ { limits.headerBytes, limits.bodyBytes }, limits.headerTimeout,
+        limits.idleTimeout, parts_.maxConnections });
 }
 
 bool Gateway::isIdempotent(const HttpMessage &request) const
@@ -165,6 +181,7 @@
     const Instant now = parts_.now();
     Exchange &exchange = exchanges_[id];
     exchange.request = std::move(request);
+    exchange.body = std::make_shared<const std::string>(std::move(exchange.request.body));
     exchange.arrivedAt = now;
     if (const std::string *requestId = exchange.request.field(headers_.requestId))
         exchange.requestId = *requestId;
@@ -208,7 +225,6 @@
     HttpMessage request;
     request.method = source.method;
     request.target = source.target;
-    request.body = source.body;
     std::ranges::copy_if(source.fields, std::back_inserter(request.fields),
         [&](const HttpField &field) { return !isReplaced(field.name); });
     const auto remaining
@@ -218,7 +234,7 @@
     request.fields.push_back({ headers_.expectUpstream, order.upstream.value() });
     if (!order.team.value().empty())
         request.fields.push_back({ headers_.team, order.team.value() });
-    return serializeRequest(request);
+    return serializeRequestHead(request, exchange.body->size());
 }
 
 void Gateway::send(ExchangeId id, const SendToUpstream &order, bool mayReuse)
@@ -235,7 +251,7 @@
     HttpCall call { order.address, upstreamRequest(exchange, order, now),
         order.deadline + std::chrono::seconds(1), mayReuseForId, exchange.request.method == "HEAD",
         exchange.requestId.empty() ? std::string() : headers_.requestId, exchange.requestId,
-        headers_.notRun };
+        headers_.notRun, exchange.body };
     exchange.call = client_.send(std::move(call),
         [this, id, mayReuse](CallResult &&end) { handleCallResult(id, std::move(end), mayReuse); });
     parts_.metrics.count("endivequay_sends_total", "domain", order.domain.value());
@@ -339,8 +355,8 @@
     const auto found = exchanges_.find(id);
     if (found == exchanges_.end() || !found->second.response)
         return;
-    const Exchange &exchange = found->second;
-    const HttpMessage &source = *exchange.response;
+    Exchange &exchange = found->second;
+    HttpMessage &source = *exchange.response;
     // The upstream did not mark the request as not run, so the response must not promise it.
     if (guaranteesNotRun(source.status) && !exchange.upstreamNotRun) {
         finish(
@@ -351,7 +367,7 @@
     HttpMessage response;
     response.status = source.status;
     response.reason = source.reason;
-    response.body = source.body;
+    response.body = std::move(source.body);
     std::ranges::copy_if(
         source.fields, std::back_inserter(response.fields), [&](const HttpField &field) {
             return !isHopByHop(field.name) && !equalIgnoringCase(field.name, "Content-Length")
@@ -361,11 +377,11 @@
                        return equalIgnoringCase(field.name, option);
                    });
         });
-    finish(id, response, "upstream");
+    finish(id, std::move(response), "upstream");
 }
 
 void Gateway::finish(
-    ExchangeId id, const HttpMessage &response, std::string_view cause, std::string_view inputs)
+    ExchangeId id, HttpMessage response, std::string_view cause, std::string_view inputs)
 {
     const auto found = exchanges_.find(id);
     const Exchange exchange = std::move(found->second);
@@ -381,7 +397,7 @@
             { "took_ms", toMillis(now - exchange.arrivedAt) },
             { "retry_after", retryAfter == nullptr ? std::string_view {} : *retryAfter },
             { "config", parts_.engine.table() ? parts_.engine.table()->version().value() : 0 } });
-    server_->respond(id, response);
+    server_->respond(id, std::move(response));
 }
 
 void Gateway::handleDisconnect(ExchangeId id)
--- a/gateway/src/httpmessage.cpp
+++ b/gateway/src/httpmessage.cpp
@@ -5,11 +5,21 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <utility>
 
 namespace endivequay {
 
 namespace {
 
+/// Bytes of a request beside its header and its body: chunk sizes and extensions. A chunk of one
+/// byte needs six.
+constexpr std::size_t maxFramingBytes = std::size_t { 64 } * 1024;
+constexpr std::size_t maxFramingPerBodyByte = 8;
+
+/// Status codes that HTTP defines (RFC 9110, 15). Others are no response.
+constexpr int minStatus = 100;
+constexpr int maxStatus = 599;
+
 char toLower(char c)
 {
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
@@ -153,15 +163,18 @@
 }
 
 std::string serializeRequest(const HttpMessage &message)
+{
+    return serializeRequestHead(message, message.body.size()) + message.body;
+}
+
+std::string serializeRequestHead(const HttpMessage &message, std::size_t bodyBytes)
 {
     std::string out = fmt::format("{} {} HTTP/1.1\r\n", message.method, message.target);
     appendFields(out, message.fields);
-    const bool noBody
-        = message.body.empty() && (message.method == "GET" || message.method == "HEAD");
+    const bool noBody = bodyBytes == 0 && (message.method == "GET" || message.method == "HEAD");
     if (!noBody)
-        fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n", message.body.size());
+        fmt::format_to(std::back_inserter(out), "Content-Length: {}\r\n", bodyBytes);
     out += "\r\n";
-    out += message.body;
     return out;
 }
 
@@ -191,9 +204,11 @@
 {
     http_parser_init(&parser_, kind_ == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
     parser_.data = this;
-    message_ = {};
+    HttpMessage empty; // An assignment would keep the memory of the body.
+    std::swap(message_, empty);
     state_ = State::Reading;
     headerBytes_ = 0;
+    fedBytes_ = 0;
     started_ = headerComplete_ = noBody_ = false;
     lastWasValue_ = true;
 }
@@ -260,6 +275,8 @@
     if (!std::ranges::all_of(message_.fields, validField))
         return fail(State::Malformed);
     message_.status = kind_ == Kind::Response ? parser_.status_code : 0;
+    if (kind_ == Kind::Response && (message_.status < minStatus || message_.status > maxStatus))
+        return fail(State::Malformed);
     if (kind_ == Kind::Request)
         message_.method = http_method_str(static_cast<http_method>(parser_.method));
     message_.keepAlive = http_should_keep_alive(&parser_) != 0;
@@ -292,17 +309,27 @@
     const std::size_t used
         = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
     headerBytes_ += headerComplete_ ? 0 : used;
+    fedBytes_ += used;
     const auto error = HTTP_PARSER_ERRNO(&parser_);
     if (state_ != State::Reading && state_ != State::Complete)
         return used;
     const bool tooLarge = !headerComplete_ && headerBytes_ > limits_.headerBytes;
     if (tooLarge || error == HPE_HEADER_OVERFLOW)
         state_ = State::HeaderTooLarge;
+    else if (state_ == State::Reading && exceedsFraming())
+        state_ = State::Malformed;
     else if (state_ == State::Reading && (error != HPE_OK || parser_.upgrade != 0))
         state_ = State::Malformed;
     return used;
 }
 
+bool HttpParser::exceedsFraming() const
+{
+    const std::size_t allowed = limits_.headerBytes + message_.body.size() + maxFramingBytes
+        + maxFramingPerBodyByte * message_.body.size();
+    return kind_ == Kind::Request && headerComplete_ && fedBytes_ > allowed;
+}
+
 void HttpParser::finish()
 {
     if (state_ != State::Reading)
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -121,10 +121,9 @@
                  ("control", self.control), ("store", self.deployment.store_address))]
         lines = [f"name = {self.name}", f"domain = {self.zone}", f"region = {ZONES[self.zone]}", f"ip = {self.ip}",
                  f"port = {self.deployment.port + 4}", *text, "link-mbps = 1000", "core-share = 0.2",
-                 "core-speed = 1", f"first-start = {'true' if self.first_start else 'false'}",
+                 "core-speed = 1", *self.deployment.machine_settings, f"first-start = {'true' if self.first_start else 'false'}",
                  *(f"region-of = {zone}={region}" for zone, region in ZONES.items()),
-                 *(f"seed = {seed}" for seed in self.seeds), *(f"bound = {bound}" for bound in BOUNDS),
-                 *self.deployment.extra_settings]
+                 *(f"seed = {seed}" for seed in self.seeds), *(f"bound = {bound}" for bound in BOUNDS)]
         self.settings.write_text("\n".join(lines) + "\n")
 
     async def supervise(self) -> None:
@@ -186,7 +185,7 @@
         self.backends: list[Backend] = []
         self.tasks: list[asyncio.Task] = []
         self.nodes_per_zone = nodes_per_zone
-        self.extra_settings: list[str] = []  # Lines added to the settings of each process.
+        self.machine_settings = [f"memory-mb = {RAM_MB}", "descriptors = 4100"]
 
     def ip(self, group: int, index: int) -> str:
         return f"127.{self.octet}.{group}.{index + 1}"
