Take a response with a status outside 100 to 599 for a failed attempt

An upstream in trouble may send a status that is none. Such a response is an attempt with an unknown outcome: 502 for what runs at most once, another upstream for what can be repeated, and the upstream counts as failing.

Both new tests fail without the check. On the platform's path, which the store's and the peers' clients share, 600 to 999 reached the caller, and 000 to 099 were skipped as interim responses. On the own interface 600 to 999 reached the caller; 000 and 099 already ended as an unknown outcome.

--- a/gateway/src/httpmessage.cpp
+++ b/gateway/src/httpmessage.cpp
@@ -1,5 +1,7 @@
 #include "endivequay/httpmessage.h"
 
+#include "endivequay/httpstatus.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -16,10 +18,6 @@
 constexpr std::size_t maxFramingBytes = std::size_t { 64 } * 1024;
 constexpr std::size_t maxFramingPerBodyByte = 8;
 
-/// Status codes that HTTP defines (RFC 9110, 15). Others are no response.
-constexpr int minStatus = 100;
-constexpr int maxStatus = 599;
-
 char toLower(char c)
 {
     return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
@@ -275,7 +273,7 @@
     if (!std::ranges::all_of(message_.fields, validField))
         return fail(State::Malformed);
     message_.status = kind_ == Kind::Response ? parser_.status_code : 0;
-    if (kind_ == Kind::Response && (message_.status < minStatus || message_.status > maxStatus))
+    if (kind_ == Kind::Response && !isHttpStatus(message_.status))
         return fail(State::Malformed);
     if (kind_ == Kind::Request)
         message_.method = http_method_str(static_cast<http_method>(parser_.method));
--- a/gateway/test/edgeclient_test.cpp
+++ b/gateway/test/edgeclient_test.cpp
@@ -2,6 +2,8 @@
 #include "endivequay/edgeclient.h"
 #include "rawpeer.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <thread>
 
@@ -355,3 +357,25 @@
     waitUntil([&] { return third.closedByPeer(); });
     CHECK_FALSE(third.resetByPeer());
 }
+
+// Guards against handing on a response whose status is none, which an upstream in trouble sent: the
+// request may have run, and nobody may take the response for an answer.
+TEST(EdgeClient, StatusThatIsNoneIsABrokenResponse)
+{
+    const auto property = [this](std::uint16_t number) {
+        for (const std::string &status :
+            { fmt::format("{:03}", number % 100), std::to_string(600 + number % 400),
+                std::to_string(1000 + number % 9000), std::string("OK"), std::string() }) {
+            results.clear();
+            RawPeer server(loop);
+            call("a", false);
+            server.accept(acceptor);
+            RC_ASSERT(runUntil(loop, [&] { return !server.received().empty(); }));
+            server.send("HTTP/1.1 " + status + " Trouble\r\nId: a\r\nContent-Length: 2\r\n\r\nno");
+            RC_ASSERT(runUntil(loop, [&] { return !results.empty(); }));
+            RC_ASSERT(results[0].kind == CallResult::Kind::Broken);
+            RC_ASSERT(results[0].sent);
+        }
+    };
+    CHECK_PROPERTY("a status that is none is a broken response", property);
+}
--- a/transport/src/http/exchange.cpp
+++ b/transport/src/http/exchange.cpp
@@ -1,5 +1,7 @@
 #include "exchange.h"
 
+#include "endivequay/httpstatus.h"
+
 #include <algorithm>
 #include <cctype>
 #include <new>
@@ -216,7 +218,9 @@
     if (failed_)
         return;
     const std::string text = errorText_[0] != '\0' ? errorText_.data() : curl_easy_strerror(code);
-    if (code == CURLE_OK && headersComplete_ && hasDefinedLength())
+    if (code == CURLE_OK && headersComplete_ && !isHttpStatus(result_.status))
+        fail(HttpEnd::Incomplete, "the response has no valid status");
+    else if (code == CURLE_OK && headersComplete_ && hasDefinedLength())
         result_.end = HttpEnd::Complete;
     else if (code == CURLE_OK && !headersComplete_) // libcurl accepts a head cut by a close.
         fail(HttpEnd::Incomplete, "the connection closed within the head of the response");
--- a/transport/test/upstreamclient_test.cpp
+++ b/transport/test/upstreamclient_test.cpp
@@ -68,6 +68,18 @@
     UpstreamClient client;
 };
 
+// Guards against handing on a response whose status is none, which an upstream in trouble sent.
+TEST(UpstreamClient, StatusThatIsNoneIsAnUnknownOutcome)
+{
+    for (const std::string status : { "000", "001", "099", "600", "999", "1000", "OK", "" }) {
+        ScriptedServer server([&](const Received &) {
+            return Reply { "HTTP/1.1 " + status + " Trouble\r\nContent-Length: 2\r\n\r\nno", true };
+        });
+        const auto response = client.send(requestTo(server.address(), RequestKind::Once));
+        CHECK(response.outcome == UpstreamOutcome::Unknown);
+    }
+}
+
 // Guards against the automatic retry of libcurl when a reused connection closes: a deposit would be
 // charged twice.
 TEST(UpstreamClient, ReusedConnectionThatClosesRunsTheRequestOnce)
