--- a/engine/src/upstreamset.cpp
+++ b/engine/src/upstreamset.cpp
@@ -68,6 +68,10 @@
 /// other upstreams are not considered.
 constexpr double maxUndelayedRatio = 1.3;
 
+/// An upstream without the object is used instead of one that has it if it is expected to end within
+/// this fraction of the time there: a cold run holds its slot about three times as long.
+constexpr double maxColdRatio = 0.6;
+
 /// Limit of the relative duration of one attempt in the moving average. Three of a hundred runs may
 /// take seven times as long; with this limit two of them in a row do not make an outlier.
 constexpr double maxRelativeTime = 6;
@@ -411,7 +415,7 @@
         = expectedCompletion(*other, mayHold(*other, query.objectHash, now), query, now);
     if (query.warmOnly)
         return time <= query.remainingObjective ? other : nullptr;
-    return best == nullptr || time < bestTime ? other : best;
+    return best == nullptr || time < maxColdRatio * bestTime ? other : best;
 }
 
 UpstreamSet::State *UpstreamSet::bestWithCapacity(
