engine: weight upstreams by slots; load test for reported paces

Objects are placed by weighted rendezvous hashing, so that an upstream with more slots gets more of them. A join, a leave and a change of size move only the objects that the changed upstream gains or loses.

--- a/engine/include/endivequay/upstreamset.h
+++ b/engine/include/endivequay/upstreamset.h
@@ -75,11 +75,11 @@
 
 /// The upstreams, and their load and health as observed by this instance. Not thread safe.
 ///
-/// Every object has a primary upstream: the one with the highest rendezvous score in the region, or
-/// in the local failure domain. This keeps the caches of the upstreams warm, and a join or leave
-/// moves few objects. A full primary queues a few requests, because a cold run elsewhere takes
-/// several times as long as a warm one; otherwise cold runs at other upstreams would use up the
-/// slots under high load.
+/// Every object has a primary upstream: the one with the highest score in the region, or in the
+/// local failure domain, by WeightedRendezvous with the slots as weights. This keeps the caches of
+/// the upstreams warm, and a join or leave moves few objects. A full primary queues a few requests,
+/// because a cold run elsewhere takes several times as long as a warm one; otherwise cold runs at
+/// other upstreams would use up the slots under high load.
 ///
 /// Where upstreams report their pace, the choice is by expected completion: the wait behind the
 /// requests ahead and the run itself, warm or cold, at the reported pace. The primary upstream
@@ -170,10 +170,10 @@
     {
         State *first = nullptr;
         State *second = nullptr;
-        std::uint64_t firstScore = 0;
-        std::uint64_t secondScore = 0;
+        double firstScore = 0;
+        double secondScore = 0;
 
-        void add(State *state, std::uint64_t score);
+        void add(State *state, double score);
     };
     struct PrimaryUpstreams
     {
@@ -200,6 +200,7 @@
         std::span<State *const> states, const UpstreamQuery &query, Instant now) const;
     double expectedCompletion(
         const State &state, bool warm, const UpstreamQuery &query, Instant now) const;
+    static double placementScore(const State &state, std::uint64_t objectHash);
     static double currentPace(const State &state, Instant now);
     bool reportsPace(const ServiceId &service) const { return pacedServices_.contains(service); }
     State *bestWithCapacity(
--- a/engine/src/upstreamset.cpp
+++ b/engine/src/upstreamset.cpp
@@ -1,6 +1,7 @@
 #include "endivequay/upstreamset.h"
 
 #include "endivequay/digest.h"
+#include "endivequay/objectplacement.h"
 
 #include <algorithm>
 #include <array>
@@ -68,8 +69,8 @@
 /// other upstreams are not considered.
 constexpr double maxUndelayedRatio = 1.3;
 
-/// An upstream without the object is used instead of one that has it if it is expected to end within
-/// this fraction of the time there: a cold run holds its slot about three times as long.
+/// An upstream without the object is used instead of one that has it if it is expected to end
+/// within this fraction of the time there: a cold run holds its slot about three times as long.
 constexpr double maxColdRatio = 0.6;
 
 /// Limit of the relative duration of one attempt in the moving average. Three of a hundred runs may
@@ -100,15 +101,6 @@
     }
 }
 
-std::uint64_t mixHash(std::uint64_t a, std::uint64_t b)
-{
-    std::uint64_t x = a ^ (b * 0x9e3779b97f4a7c15ULL);
-    x ^= x >> 32;
-    x *= 0xd6e8feb86659fd93ULL;
-    x ^= x >> 32;
-    return x;
-}
-
 } // namespace
 
 UpstreamSet::UpstreamSet(InstanceId self, std::size_t minSenders)
@@ -325,7 +317,7 @@
         if (!acceptsRequests(*state) || state->ejectedUntil > now || state->coldUntil > now
             || isOutlier(*state))
             continue;
-        const std::uint64_t score = mixHash(query.objectHash, state->hash);
+        const double score = placementScore(*state, query.objectHash);
         primaries.inRegion.add(state, score);
         if (state->entry.domain == query.domain)
             primaries.inDomain.add(state, score);
@@ -333,7 +325,12 @@
     return primaries;
 }
 
-void UpstreamSet::TopUpstreams::add(State *state, std::uint64_t score)
+double UpstreamSet::placementScore(const State &state, std::uint64_t objectHash)
+{
+    return WeightedRendezvous::score(objectHash, state.hash, std::max(1, state.entry.slots));
+}
+
+void UpstreamSet::TopUpstreams::add(State *state, double score)
 {
     if (first == nullptr || score > firstScore) {
         second = std::exchange(first, state);
@@ -363,14 +360,14 @@
     std::span<State *const> states, const UpstreamQuery &query, Instant now) const
 {
     State *best = nullptr;
-    std::pair<double, std::uint64_t> bestRank;
+    std::pair<double, double> bestRank;
     for (State *state : states) {
         const bool warm = mayHold(*state, query.objectHash, now);
         if ((query.warmOnly && !warm) || !hasCapacity(*state, query, 0, now))
             continue;
         // Of equally fast ones the same for all instances.
         const std::pair rank { expectedCompletion(*state, warm, query, now),
-            ~mixHash(query.objectHash, state->hash) };
+            -placementScore(*state, query.objectHash) };
         if (best == nullptr || rank < bestRank) {
             best = state;
             bestRank = rank;
@@ -422,11 +419,11 @@
     std::span<State *const> states, const UpstreamQuery &query, Instant now) const
 {
     State *best = nullptr;
-    std::pair<bool, std::uint64_t> bestRank;
+    std::pair<bool, double> bestRank;
     for (State *state : states) {
         // Upstreams that have the object rank before all others.
         const std::pair rank { mayHold(*state, query.objectHash, now),
-            mixHash(query.objectHash, state->hash) };
+            placementScore(*state, query.objectHash) };
         if ((best == nullptr || rank > bestRank) && hasCapacity(*state, query, 0, now)) {
             best = state;
             bestRank = rank;
--- a/engine/test/limits_test.cpp
+++ b/engine/test/limits_test.cpp
@@ -215,6 +215,29 @@
     CHECK_PROPERTY("no region is filled beyond the fleet", property);
 }
 
+// Guards against instances that each find room in a region that is short of capacity, because they
+// see only their own requests there, and overload it together.
+TEST(Placement, RegionsShortOfCapacityTakeNoRequestsOfOthers)
+{
+    const std::map<RegionId, RegionLoad> loads { { RegionId("large"), { 100, 400 } },
+        { RegionId("small"), { 100, 96 } } };
+    CHECK(regionsWithSpareCapacity(loads) == std::set<RegionId> { RegionId("large") });
+}
+
+// Guards against a region that keeps its part of the demand although its upstreams are full,
+// because requests that only it may serve come from other regions as well.
+TEST(Placement, FullUpstreamsReduceTheLocalPart)
+{
+    LocalCapacity capacity;
+    for (int i = 0; i < 40; ++i)
+        capacity.observe(1.2);
+    CHECK(capacity.fraction() < 0.4);
+    CHECK(capacity.fraction() > 0);
+    for (int i = 0; i < 80; ++i)
+        capacity.observe(0.5);
+    DOUBLES_EQUAL(1, capacity.fraction(), 1e-9);
+}
+
 // Guards against a shift between two windows that exceeds the cap.
 TEST(Placement, SharesChangeSlowly)
 {
--- a/engine/test/load_test.cpp
+++ b/engine/test/load_test.cpp
@@ -38,6 +38,27 @@
     return scenario;
 }
 
+/// Upstreams with few slots on shared machines, most of them far from a third of the callers.
+LoadScenario sharedMachines()
+{
+    LoadScenario scenario;
+    scenario.upstreamsPerDomain = { 14, 3, 12 };
+    scenario.slots = 4;
+    scenario.cacheSize = 17;
+    scenario.objectsPerRegion = 80;
+    scenario.coldSeconds = 0.75;
+    scenario.warmSeconds = 0.22;
+    scenario.objective = 500ms;
+    scenario.timeout = 2s;
+    scenario.callerTimeout = 4s;
+    scenario.ratePerDomain = 75;
+    scenario.slowFraction = 0.15;
+    scenario.slowFactor = 2.5;
+    scenario.longRunFraction = 0.03;
+    scenario.longRunFactor = 7;
+    return scenario;
+}
+
 } // namespace
 
 TEST_GROUP(Load) {};
@@ -120,3 +141,22 @@
         CHECK(simulate(scenario, seed).inObjectiveFraction()
             >= simulate(whole, seed).inObjectiveFraction() - 0.1);
 }
+
+// Guards against requests that queue at a slow or full upstream while another one would end them in
+// time, and against outliers made of single long runs. Targets: where upstreams report their pace,
+// more callers are served within their objective and fewer are refused, also in the region that is
+// short of upstreams.
+TEST(Load, ReportedPaceServesMoreCallersInTime)
+{
+    for (const unsigned seed : seeds) {
+        LoadScenario scenario = sharedMachines();
+        const LoadOutcome without = simulate(scenario, seed);
+        scenario.reportsPace = true;
+        const LoadOutcome with = simulate(scenario, seed);
+        fmt::print("  short region {:.3f} {:.3f}\n", without.inObjectiveFraction(1),
+            with.inObjectiveFraction(1));
+        CHECK(with.inObjectiveFraction() > without.inObjectiveFraction());
+        CHECK(with.refused < without.refused);
+        CHECK(with.inObjectiveFraction(1) > without.inObjectiveFraction(1));
+    }
+}
--- a/engine/test/loadsimulation.h
+++ b/engine/test/loadsimulation.h
@@ -3,6 +3,8 @@
 
 #include "engine_fixture.h"
 
+#include "endivequay/digest.h"
+
 #include <algorithm>
 #include <deque>
 #include <list>
@@ -31,6 +33,13 @@
     double surge = 1;
     Interval surgeAt {};
     Interval length = 20s;
+    bool reportsPace = false; ///< The upstreams report how long work takes at the moment.
+    double slowFraction
+        = 0; ///< Part of the time in which an upstream is slow, in turns of slowTurn.
+    double slowFactor = 1;
+    Interval slowTurn = 600ms;
+    double longRunFraction = 0; ///< Runs that take longRunFactor times as long.
+    double longRunFactor = 1;
     /// Time before the first request, in which the upstreams of the other regions register.
     Interval startupDuration {};
 };
@@ -261,6 +270,16 @@
         }
     }
 
+    /// Duration of work at \a target now, as a multiple of the usual.
+    double pace(const Upstream &target) const
+    {
+        const auto turn = static_cast<std::uint64_t>(
+            (now_ - (epoch - scenario_.startupDuration)) / scenario_.slowTurn);
+        const std::uint64_t chance = hash64(target.entry.id.value(), turn) % 1000;
+        return static_cast<double>(chance) < 1000 * scenario_.slowFraction ? scenario_.slowFactor
+                                                                           : 1;
+    }
+
     void receive(Upstream &target, const Work &work)
     {
         target.queue.push_back(work);
@@ -282,8 +301,11 @@
             if (target.cache.size() > scenario_.cacheSize)
                 target.cache.pop_back();
             const double spread = std::uniform_real_distribution<>(0.85, 1.15)(random_);
+            const bool isLong
+                = std::uniform_real_distribution<>(0, 1)(random_) < scenario_.longRunFraction;
+            const double factor = spread * pace(target) * (isLong ? scenario_.longRunFactor : 1);
             const Interval time
-                = fromSeconds((warm ? scenario_.warmSeconds : scenario_.coldSeconds) * spread);
+                = fromSeconds((warm ? scenario_.warmSeconds : scenario_.coldSeconds) * factor);
             schedule(now_ + time, [this, &target, work] { endWork(target, work); });
         }
     }
@@ -293,6 +315,8 @@
         AttemptOutcome outcome = good;
         outcome.occupancy
             = Occupancy { target.running, static_cast<int>(target.queue.size()), scenario_.slots };
+        if (scenario_.reportsPace)
+            outcome.occupancy->pacePercent = static_cast<int>(100 * pace(target));
         --target.running;
         startWork(target);
         schedule(now_ + delay(*work.instance, target.entry), [this, work, outcome] {
