--- a/engine/include/endivequay/upstreamset.h
+++ b/engine/include/endivequay/upstreamset.h
@@ -127,6 +127,8 @@
         const UpstreamId &id, AttemptResult result, double relativeTime, Instant now);
     void occupancyReported(const UpstreamId &id, const Occupancy &occupancy, Instant now);
 
+    /// Whether upstreams of \a service report how long work takes at the moment.
+    bool reportsPace(const ServiceId &service) const { return pacedServices_.contains(service); }
     /// Whether new requests may go to \a id now.
     bool usable(const UpstreamId &id) const;
     /// Number of requests of this instance in flight at \a id; 0 if unknown.
@@ -202,7 +204,6 @@
         const State &state, bool warm, const UpstreamQuery &query, Instant now) const;
     static double placementScore(const State &state, std::uint64_t objectHash);
     static double currentPace(const State &state, Instant now);
-    bool reportsPace(const ServiceId &service) const { return pacedServices_.contains(service); }
     State *bestWithCapacity(
         std::span<State *const> states, const UpstreamQuery &query, Instant now) const;
     bool mayReceive(State &state, const UpstreamQuery &query, Instant now) const;
--- a/engine/src/requestplacing.cpp
+++ b/engine/src/requestplacing.cpp
@@ -172,10 +172,11 @@
     if (request.regions.empty())
         return nullptr;
     const Interval waited = now - request.arrivedAt;
-    // Ends before the wait for room does: a cold run is better than a refusal.
-    const Interval warmWait = std::min(
-        { maxWarmWait, fromSeconds(maxWarmWaitFraction * toSeconds(request.route->objective)),
-            (request.waitUntil - request.arrivedAt) / 2 });
+    Interval warmWait = std::min(
+        maxWarmWait, fromSeconds(maxWarmWaitFraction * toSeconds(request.route->objective)));
+    // Where the cost of a cold run is known, it is tried before the request is refused.
+    if (upstreams_.reportsPace(request.service))
+        warmWait = std::min(warmWait, (request.waitUntil - request.arrivedAt) / 2);
     UpstreamQuery query { request.service, {}, self_.domain,
         services_[request.service].locality.covers(request.objectHash), request.objectHash,
         waited < warmWait && request.sends == 0,
