--- a/engine/src/upstreamset.cpp
+++ b/engine/src/upstreamset.cpp
@@ -61,9 +61,11 @@
 constexpr double minPace = 1;
 constexpr double maxPace = 4;
 
-/// Limit of the relative duration of one attempt in the moving average. Three of a hundred runs may
-/// take seven times as long; with this limit two of them in a row do not make an outlier.
-constexpr double maxRelativeTime = 6;
+/// Limits of the relative duration of one attempt in the moving average. Where upstreams report
+/// their pace, three of a hundred runs may take seven times as long; with the lower limit two of
+/// them in a row do not make an outlier.
+constexpr double maxRelativeTime = 10;
+constexpr double maxRelativeTimePaced = 6;
 constexpr double minRelativeTime = 0.2;
 
 /// Added to the cold time that service discovery reports, for the propagation delay of its lists.
@@ -347,7 +349,9 @@
         state->consecutiveFailures = 0;
         state->ejections = 0;
         updateMean(state->failureRate, 0);
-        updateMean(state->slowness, std::clamp(relativeTime, minRelativeTime, maxRelativeTime));
+        updateMean(state->slowness,
+            std::clamp(relativeTime, minRelativeTime,
+                reportsPace(state->entry.service) ? maxRelativeTimePaced : maxRelativeTime));
         break;
     case AttemptResult::Failed:
         updateMean(state->failureRate, 1);
