--- a/gateway/src/edgeserver.cpp
+++ b/gateway/src/edgeserver.cpp
@@ -92,8 +92,7 @@
         countRejected("too_many_connections");
         if (idle == connections_.end())
             return;
-        const std::shared_ptr<Connection> closed = *idle;
-        closed->close();
+        (*idle)->close();
     }
     asio::error_code ignored; // The options only improve latency.
     socket.set_option(asio::ip::tcp::no_delay(true), ignored);
--- a/gateway/src/httpmessage.cpp
+++ b/gateway/src/httpmessage.cpp
@@ -314,9 +314,8 @@
     const bool tooLarge = !headerComplete_ && headerBytes_ > limits_.headerBytes;
     if (tooLarge || error == HPE_HEADER_OVERFLOW)
         state_ = State::HeaderTooLarge;
-    else if (state_ == State::Reading && exceedsFraming())
-        state_ = State::Malformed;
-    else if (state_ == State::Reading && (error != HPE_OK || parser_.upgrade != 0))
+    else if (state_ == State::Reading
+        && (error != HPE_OK || parser_.upgrade != 0 || exceedsFraming()))
         state_ = State::Malformed;
     return used;
 }
