--- a/gateway/test/edgeclient_test.cpp
+++ b/gateway/test/edgeclient_test.cpp
@@ -358,8 +358,8 @@
     CHECK_FALSE(third.resetByPeer());
 }
 
-// Guards against handing on a response whose status is none, which an upstream in trouble sent: the
-// request may have run, and nobody may take the response for an answer.
+// Guards against delivering a response with an invalid status code from a failing upstream. The
+// request may have run, so the attempt has to end with an unknown outcome.
 TEST(EdgeClient, StatusThatIsNoneIsABrokenResponse)
 {
     const auto property = [this](std::uint16_t number) {
--- a/transport/test/upstreamclient_test.cpp
+++ b/transport/test/upstreamclient_test.cpp
@@ -68,7 +68,7 @@
     UpstreamClient client;
 };
 
-// Guards against handing on a response whose status is none, which an upstream in trouble sent.
+// Guards against delivering a response with an invalid status code from a failing upstream.
 TEST(UpstreamClient, StatusThatIsNoneIsAnUnknownOutcome)
 {
     for (const std::string status : { "000", "001", "099", "600", "999", "1000", "OK", "" }) {
