--- a/review/6/case.py
+++ b/review/6/case.py
@@ -33,10 +33,10 @@
         record, store = deployment.record, deployment.store
         await deployment.operator.publish(routes(2.0), ["storefront"], TENANTS)
         for index, zone in enumerate(list(ZONES) * 2):
-            await deployment.add_backend(f"i-{index + 1:04x}", "storefront", zone, 0.3)
+            await deployment.add_backend(f"i-{index + 1:04x}", "storefront", zone, 0.5)
         await deployment.start_machines()
         await deployment.until(3.0)
-        deployment.keep_calling("/reserve/1", "POST", KEY, 40, END_AT - 3, b"bale")
+        deployment.keep_calling("/reserve/1", "POST", KEY, 50, END_AT - 3, b"bale")
         deployment.keep_calling("/view/1", "GET", KEY, 20, END_AT - 3)
 
         await deployment.until(COPY_AT)
--- a/review/lib-2/store.py
+++ b/review/lib-2/store.py
@@ -180,13 +180,15 @@
 
 
 class Link:
-    """The way from a machine to the store. While it is cut, nothing passes in either direction, silently."""
+    """The way from a machine to the store. While it is cut, nothing passes in either direction, silently. While the
+    machine is turned away, its calls get 503."""
 
     def __init__(self, ip: str, target: tuple[str, int]) -> None:
         self.ip, self.target = ip, target
         self.passing = asyncio.Event()
         self.passing.set()
-        self.tasks: set[asyncio.Task] = set()
+        self.turned_away = False
+        self.watched_at = 0.0  # When the machine last began a watch.
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> int:
@@ -202,9 +204,21 @@
             writer.transport.abort()
         self.passing.set()
 
+    def turn_away(self) -> None:
+        self.turned_away = True
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def refuse(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while await read_message(reader):
+            writer.write(encode("HTTP/1.1 503 x", {"Content-Type": "application/json"}, b"{}"))
+            await writer.drain()
+
     async def relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while data := await reader.read(65536):
             await self.passing.wait()
+            if b"kv-watch" in data:
+                self.watched_at = time.monotonic()
             writer.write(data)
             await writer.drain()
 
@@ -213,6 +227,9 @@
         other = None
         try:
             await self.passing.wait()
+            if self.turned_away:
+                await self.refuse(reader, writer)
+                return
             store_reader, other = await asyncio.open_connection(*self.target)
             self.writers.add(other)
             ways = {asyncio.ensure_future(self.relay(reader, other)),
@@ -221,7 +238,7 @@
             for way in ways:
                 way.cancel()
             await asyncio.gather(*ways, return_exceptions=True)
-        except OSError:
+        except (OSError, asyncio.IncompleteReadError):
             pass  # One side closed the connection.
         finally:
             for each in filter(None, (writer, other)):
