--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,71 +1,90 @@
-"""A key is withdrawn after the store came back from an older copy: is it still accepted past apply_s?"""
+"""The store turns some machines away, among them those that read it for the others; back ends leave meanwhile: do
+requests from the machines that the store serves still reach them past drain_s?"""
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib-2"))
-from deployment import BOUNDS, BROKEN, HELD, NOT_RUN, TROUBLE, Deployment, main, route
+from deployment import BOUNDS, BROKEN, HELD, NOT_RUN, TROUBLE, Backend, Deployment, main, route
 
-ZONES = {"west-in-a": "west-in", "west-in-b": "west-in", "gulf-a": "gulf", "gulf-b": "gulf"}
-KEY, WITHDRAWN = "key-reseller-1", "key-reseller-2"
-COPY_AT, STORM_AT, DRILL_AT, AWAY_S = 5.0, 5.5, 8.0, 1.0
-CHANGE_AT, END_AT = 15.0, 35.0
+ZONES = {"ege-a": "ege", "kapadokya-a": "kapadokya", "karadeniz-a": "karadeniz", "ege-b": "ege",
+         "kapadokya-b": "kapadokya", "karadeniz-b": "karadeniz"}
+MACHINES = 18  # yildirim-sofra: 12, and 6 that are added during a day.
+SHARE, OUTAGE_S = 0.35, 9.0  # The largest platform_down of kind `nodes` there.
+KEY = "key-house-1"
+OUTAGE_AT = 14.0
+LEAVERS, GAP_S = 3, 0.35  # Of 18; scale_in takes up to a fifth of the back ends of that site.
+SERVES_S = BOUNDS["drain_s"] + 0.5  # drain_s "and a little longer".
+TRANSIT_S = 0.1  # From the machine to the back end, generous on loopback.
+END_AT = 28.0
 
 
-def routes(timeout_s: float, service: str) -> list[list]:
-    return [route("view", "/view/", "idempotent", "storefront", timeout_s),
-            route("confirm", "/confirm/", "non_idempotent", service, timeout_s)]
+def choose_machines(deployment: Deployment) -> list[int]:
+    """A share of the machines: first those that have watched the store within the last seconds."""
+    order = sorted(range(MACHINES), key=lambda index: -deployment.links[index].watched_at)
+    return order[:int(SHARE * MACHINES)]
 
 
-def tenants(keys: list[str]) -> list[list]:
-    return [["reseller", keys, 1, 0, 0, []]]
+async def leave(deployment: Deployment, backend: Backend, delay_s: float) -> float:
+    """Planned shutdown of a back end; returns the time of the ack."""
+    await asyncio.sleep(delay_s)
+    backend.state = "draining"
+    await backend.write_entry()
+    left_at = deployment.record.now()
+    await asyncio.sleep(SERVES_S)
+    await backend.exit()
+    await deployment.store.remove(f"servers/{backend.identity}")
+    return left_at
 
 
 async def case() -> int:
-    async with Deployment(Path(__file__).parent, ZONES, 4) as deployment:
-        record, store, operator = deployment.record, deployment.store, deployment.operator
-        services, both = ["storefront", "godown"], tenants([KEY, WITHDRAWN])
-        await operator.publish(routes(2.0, "storefront"), services, both)
-        for index, zone in enumerate(ZONES):
-            await deployment.add_backend(f"i-{index + 1:04x}", "storefront", zone, 0.1)
-            await deployment.add_backend(f"i-{index + 101:04x}", "godown", zone, 0.1)
+    async with Deployment(Path(__file__).parent, ZONES, MACHINES) as deployment:
+        record, store = deployment.record, deployment.store
+        await deployment.operator.publish(
+            [route("order", "/order/", "non_idempotent", "sofra"), route("menu", "/menu/", "idempotent", "sofra")],
+            ["sofra"], [["house", [KEY], 1, 0, 0, []]])
+        for index, zone in enumerate(list(ZONES) * 3):
+            await deployment.add_backend(f"i-{index + 1:04x}", "sofra", zone, 0.4)
         await deployment.start_machines()
-        await deployment.until(3.0)
-        deployment.keep_calling("/confirm/1", "POST", KEY, 20, END_AT - 3, b"bale")
-        deployment.keep_calling("/view/1", "GET", WITHDRAWN, 20, END_AT - 3)
+        await deployment.until(5.0)
+        deployment.keep_calling("/order/1", "POST", KEY, 110, END_AT - 3, b"supper")
+        deployment.keep_calling("/menu/1", "GET", KEY, 60, END_AT - 3)
 
-        await deployment.until(COPY_AT)
-        older = store.take_copy()
-        await deployment.until(STORM_AT)
-        for step in range(6):  # Configurations in quick succession, which only change the time-outs of the routes.
-            await operator.publish(routes(2.0 + 0.1 * step, "storefront"), services, both)
-            await asyncio.sleep(0.33)
-        await deployment.until(DRILL_AT)
-        if TROUBLE:
-            await store.drill(older, AWAY_S)
-
-        await deployment.until(CHANGE_AT)
-        acked_at = await operator.publish(routes(2.5, "godown"), services, tenants([KEY]))
-        record.say(f"acknowledged: {WITHDRAWN} is withdrawn, and /confirm/ goes to godown")
+        await deployment.until(OUTAGE_AT - 0.3)
+        leavers = deployment.backends[:LEAVERS]
+        leaving = [asyncio.create_task(leave(deployment, each, GAP_S * n)) for n, each in enumerate(leavers)]
+        await deployment.until(OUTAGE_AT)
+        readers = [index for index in range(MACHINES) if time.monotonic() - deployment.links[index].watched_at < 5]
+        chosen = choose_machines(deployment) if TROUBLE else []
+        record.say(f"{len(readers)} of {MACHINES} machines read the store; it turns {len(chosen)} machines away")
+        for index in chosen:
+            deployment.links[index].turn_away()
+        left_at = await asyncio.gather(*leaving)
+        await deployment.until(OUTAGE_AT + OUTAGE_S)
+        for index in chosen:
+            deployment.links[index].turned_away = False
         await deployment.until(END_AT)
 
-        bound = acked_at + BOUNDS["apply_s"]
-        runs = {request: backend.service for backend in deployment.backends for request in backend.runs}
-        calls = deployment.answers.all
-        later = [entry for entry in calls if entry["sent_at"] > bound]
-        withdrawn = [entry for entry in later if entry["key"] == WITHDRAWN and entry["id"] in runs]
-        old_service = [entry for entry in later if entry["path"] == "/confirm/1" and runs.get(entry["id"]) == "storefront"]
-        served = sum(entry["status"] == 200 for entry in calls if entry["sent_at"] < acked_at)
-        before = sum(entry["sent_at"] < acked_at for entry in calls)
-        record.say(f"{before} requests sent before the change, {served} served; {len(later)} sent later than apply_s "
-                   f"after its ack")
-        record.say(f"of these, {len(withdrawn)} ran with the withdrawn key, and {len(old_service)} at the old service; "
-                   f"the last was sent {max((e['sent_at'] for e in withdrawn + old_service), default=acked_at) - acked_at:.1f} s "
-                   f"after the ack")
-        if served < before / 2 or not later or not all(each.running() for each in deployment.machines):
+        answers = {entry["id"]: entry for entry in deployment.answers.all}
+        served_machines = {machine.address for index, machine in enumerate(deployment.machines) if index not in chosen}
+        before, late, lost = 0, 0, 0
+        for leaver, left in zip(leavers, left_at):
+            after = [at - left for at, request in leaver.arrivals if answers[request]["address"] in served_machines]
+            too_late = [delay for delay in after if delay > BOUNDS["drain_s"] + TRANSIT_S]
+            cut = [request for request in leaver.cut if answers[request]["status"] in (0, 502, 504)]
+            record.say(f"{leaver.identity} left at {left:.2f} s; {len(too_late)} requests reached it later than drain_s "
+                       f"after the ack, from machines that the store served all along, the last {max(after):.2f} s; "
+                       f"{len(cut)} that ran when it exited got no answer or 502")
+            before += sum(delay < 0 for delay in after)
+            late += len(too_late)
+            lost += len(cut)
+        served = sum(entry["status"] == 200 for entry in answers.values())
+        record.say(f"{len(answers)} requests sent, {served} served; {late} came late, {lost} were lost")
+        if not before or served < len(answers) / 2 or not all(each.running() for each in deployment.machines):
             return NOT_RUN
-        return BROKEN if withdrawn or old_service else HELD
+        return BROKEN if late else HELD
 
 
 main(case)
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -150,6 +150,7 @@
                  store: str, ports: dict[str, int], seeds: list[str]) -> None:
         self.record, self.name, self.ip, self.zone = record, name, ip, zone
         self.address, self.ready = (ip, ports["front"]), (ip, ports["ready"])
+        self.directory = (ip, ports["directory"])
         self.process: asyncio.subprocess.Process | None = None
         listen = {each: f"{ip}:{ports[each]}" for each in ("front", "ready", "control", "directory")}
         values = {"node": name, "zone": zone, "region": zones[zone], "ip": ip, "port_range": [ports["range"]],
@@ -292,6 +293,7 @@
         self.backends: list[Backend] = []
         self.machines: list[Machine] = []
         self.tasks: list[asyncio.Task] = []
+        self.closers: list[asyncio.StreamWriter] = []  # Connections that are closed at the end.
         self.octet = 20 + os.getpid() % 200
 
     async def __aenter__(self) -> "Deployment":
@@ -340,16 +342,13 @@
         self.tasks.append(asyncio.create_task(run()))
 
     async def __aexit__(self, *_) -> None:
+        for writer in self.closers:
+            writer.close()
         for machine in self.machines:
             await machine.stop()
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
-        logs = ROOT / "bench-output"
-        if os.environ.get("KEEP_LOGS"):
-            logs.mkdir(exist_ok=True)
-            for machine in self.machines:
-                (logs / machine.log_path.name).write_bytes(machine.log_path.read_bytes())
         self.record.file.flush()
         self.temporary.cleanup()
 
