--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -3,7 +3,6 @@
 
 import asyncio
 import itertools
-import json
 import os
 import re
 import resource
