Log restores of the store and show its epoch

Change: the store client reads the epoch from the header, event 217 StoreRestored has it with the revision of the instance, metric endivequay_store_epoch. No decision changes.

--- a/core/include/endivequay/events.h
+++ b/core/include/endivequay/events.h
@@ -63,6 +63,7 @@
     Registered = 214,
     RegistrationLost = 215,
     StateNotHandedOver = 216,
+    StoreRestored = 217,
     PeerJoined = 300,
     PeerSuspected = 301,
     PeerRecovered = 302,
--- a/core/include/endivequay/types.h
+++ b/core/include/endivequay/types.h
@@ -51,6 +51,10 @@
 /// Revision of the store. Totally ordered; 0 means that nothing has been read yet.
 using Revision = Strong<struct RevisionTag, std::int64_t>;
 
+/// Rises each time the store is restored from a backup. Revisions of two epochs are not comparable:
+/// a restored store assigns the revisions after the backup again. 0: the store does not tell.
+using StoreEpoch = Strong<struct StoreEpochTag, std::int64_t>;
+
 /// Requests per second.
 using RequestRate = Strong<struct RequestRateTag, double>;
 
--- a/core/src/events.cpp
+++ b/core/src/events.cpp
@@ -34,6 +34,7 @@
     { EventId::Registered, "Registered" },
     { EventId::RegistrationLost, "RegistrationLost" },
     { EventId::StateNotHandedOver, "StateNotHandedOver" },
+    { EventId::StoreRestored, "StoreRestored" },
     { EventId::PeerJoined, "PeerJoined" },
     { EventId::PeerSuspected, "PeerSuspected" },
     { EventId::PeerRecovered, "PeerRecovered" },
--- a/gateway/include/endivequay/controlstore.h
+++ b/gateway/include/endivequay/controlstore.h
@@ -38,12 +38,16 @@
 /// Asynchronous client of the store that holds the control state.
 ///
 /// list() reads the whole state. watch() is a long poll: it completes on a change after the given
-/// revision or on its timeout. renewLease() yields false if the lease has expired.
+/// revision or on its timeout. renewLease() yields false if the lease has expired. epoch() is the
+/// latest epoch that the store has told.
 template <class T>
 concept ControlStore = requires(T store, Revision after, MemberRecord member, LeaseId lease,
     Callback<ReplicaUpdate> listed, Callback<WatchResult> watched, Callback<LeaseId> granted,
     Callback<bool> renewed, Callback<Done> done)
 {
+    {
+        store.epoch()
+        } -> std::convertible_to<StoreEpoch>;
     store.list(listed);
     store.watch(after, watched);
     store.grantLease(granted);
--- a/gateway/include/endivequay/entrynode.h
+++ b/gateway/include/endivequay/entrynode.h
@@ -242,8 +242,11 @@
         }
         if (request.path() == "/v1/state")
             return core_.stateResponse(request);
-        if (request.path() == "/metrics")
+        if (request.path() == "/metrics") {
+            core_.metrics().set(
+                "endivequay_store_epoch", static_cast<double>(store_.epoch().value()));
             return core_.metricsResponse();
+        }
         response.status = 404;
         return response;
     }
--- a/gateway/include/endivequay/statefeed.h
+++ b/gateway/include/endivequay/statefeed.h
@@ -37,6 +37,7 @@
 
     void advance(Instant now)
     {
+        logRestore(now);
         if (callPending_ || now < retryAt_)
             return;
         callPending_ = true;
@@ -72,6 +73,18 @@
     bool healthy() const { return healthy_; }
 
 private:
+    void logRestore(Instant now)
+    {
+        const StoreEpoch epoch = store_.epoch();
+        if (epoch == epoch_)
+            return;
+        if (epoch_ != StoreEpoch(0))
+            log_.write(EventId::StoreRestored, "restored", now,
+                { { "epoch", epoch.value() }, { "from", epoch_.value() },
+                    { "state", replica_.asOf().value() } });
+        epoch_ = epoch;
+    }
+
     void list()
     {
         const Instant askedAt = now_();
@@ -149,6 +162,7 @@
     Instant retryAt_;
     Instant lastAnswerAt_;
     Interval backoff_ = initialBackoff;
+    StoreEpoch epoch_; ///< Latest known epoch.
 };
 
 /// Keeps this instance's registration in the store under a lease. Not thread safe.
--- a/gateway/test/statefeed_test.cpp
+++ b/gateway/test/statefeed_test.cpp
@@ -18,6 +18,7 @@
     std::vector<std::pair<LeaseId, Callback<bool>>> renewals;
     std::vector<LeaseId> ended;
 
+    StoreEpoch epoch() const { return {}; }
     void list(Callback<ReplicaUpdate> done) { lists.push_back(std::move(done)); }
     void watch(Revision after, Callback<WatchResult> done)
     {
