Order the control state by the store's epoch before its revision

What callers saw: after the store had come back from a backup, all instances ignored new versions and removals. Cause: a restored store gives the revisions after the backup out again. Replica, caches of decoded entries, heartbeats, digests, state requests and watches ordered states by revision alone, so that what was written after the restore counted as known or old. A lease id could be given to another instance as well, which both then renewed. Change: StorePosition (epoch, revision) replaces the revision wherever states are compared or passed on. A replica takes a later epoch over as a whole and never goes back. An instance with state waits for the writers before it takes a backup; versions of the configuration and departures of upstreams outlast epochs. Registrations are made again, spread over a second. Restores of a store that does not tell its epoch are not detected.

--- a/gateway/include/endivequay/entrynode.h
+++ b/gateway/include/endivequay/entrynode.h
@@ -93,6 +93,7 @@
 private:
     void handleMessage(const PeerMessage &message);
     void handle(const PeerHeartbeat &heartbeat);
+    void peerStateSeen(const StorePosition &position, Instant now);
     void handle(const TokenMessage &message);
     void handle(const DomainDigest &digest);
     void sendTokenRequests();
--- a/gateway/include/endivequay/peermessages.h
+++ b/gateway/include/endivequay/peermessages.h
@@ -4,6 +4,7 @@
 #include "endivequay/fleet.h"
 #include "endivequay/result.h"
 #include "endivequay/routing.h"
+#include "endivequay/storeposition.h"
 
 #include <cstdint>
 #include <optional>
@@ -43,8 +44,8 @@
     std::optional<MemberRecord>
         member; ///< In some heartbeats, for receivers without the list from the store.
     bool leaving = false;
-    Revision stateAsOf; ///< Revision of the sender's replica.
-    Interval stateAge {}; ///< Time since the store confirmed that revision.
+    StorePosition stateAsOf; ///< Position of the sender's replica.
+    Interval stateAge {}; ///< Time since the store confirmed that position.
     std::optional<DemandReport> demand; ///< None if the domain digest carries the demand.
     bool overloaded = false; ///< The sender's event loop runs late.
 };
@@ -56,7 +57,7 @@
     std::uint64_t incarnation = 0;
     Interval age {}; ///< Time since its last heartbeat at the relay.
     bool leaving = false;
-    Revision stateAsOf;
+    StorePosition stateAsOf;
     Interval stateAge {};
     std::optional<MemberRecord> member; ///< In some digests, as in PeerHeartbeat.
     bool overloaded = false; ///< As in PeerHeartbeat.
--- a/gateway/include/endivequay/peers.h
+++ b/gateway/include/endivequay/peers.h
@@ -24,7 +24,7 @@
     Instant listedAt; ///< When this process first saw its current incarnation in the store's list.
     Instant lastHeartbeatAt; ///< Epoch if there was none.
     Instant lastMessageAt; ///< Latest message other than a heartbeat.
-    Revision stateAsOf;
+    StorePosition stateAsOf;
     Instant stateConfirmedAt; ///< Local time, derived from the age in the heartbeat.
     DemandReport demand; ///< From digests: the domain's sum at its relay, empty for other members.
     bool relayed = false; ///< Known from the digests of its domain.
--- a/gateway/include/endivequay/replica.h
+++ b/gateway/include/endivequay/replica.h
@@ -3,7 +3,7 @@
 
 #include "endivequay/clock.h"
 #include "endivequay/result.h"
-#include "endivequay/types.h"
+#include "endivequay/storeposition.h"
 
 #include <map>
 #include <optional>
@@ -17,21 +17,22 @@
 {
     std::string key;
     std::optional<std::string> value; ///< None: tombstone of a removed key.
-    Revision revision;
+    Revision revision; ///< In the epoch of the update or replica.
 };
 
 /// Changes since a revision, or a snapshot of the whole state.
 struct ReplicaUpdate
 {
     std::vector<ReplicaItem> items;
-    Revision asOf; ///< The sender has all changes up to this revision.
+    StorePosition asOf; ///< The sender has all changes up to this position.
     bool isSnapshot = false; ///< Keys that are not in items do not exist at asOf.
     Instant confirmedAt; ///< Local time of the store request that confirmed asOf; a lower bound
                          ///< if the update is from a peer.
 };
 
-/// Local copy of the control state in the store. A key never goes back to an earlier revision,
-/// whatever the source and the order of updates. Not thread safe.
+/// Local copy of the control state in the store. A key never goes back to an earlier revision of an
+/// epoch, whatever the source and the order of updates, and the state never to an earlier epoch. A
+/// later epoch begins with a snapshot, which replaces all keys. Not thread safe.
 class Replica
 {
 public:
@@ -40,13 +41,23 @@
 
     /// Returns whether any key changed.
     bool apply(const ReplicaUpdate &update);
-    /// Changes after \a since, or a snapshot if tombstones after \a since may have been dropped.
-    ReplicaUpdate updates(Revision since) const;
+    /// Changes after \a since, or a snapshot if \a since is of another epoch or tombstones after it
+    /// may have been dropped.
+    ReplicaUpdate updates(StorePosition since) const;
 
-    /// The replica includes all changes up to this revision; 0 before the first snapshot.
-    Revision asOf() const { return asOf_; }
+    /// Records that the store is in \a epoch. If that is news, a state of the epoch may replace the
+    /// one that is there from \a adoptAt.
+    void epochSeen(StoreEpoch epoch, Instant adoptAt);
+    /// Whether a state of \a epoch may replace the one that is there.
+    bool mayAdopt(StoreEpoch epoch, Instant now) const
+    {
+        return !loaded() || epoch <= asOf_.epoch || now >= adoptAt_;
+    }
+
+    /// The replica includes all changes up to this position; revision 0 before the first snapshot.
+    StorePosition asOf() const { return asOf_; }
     Instant confirmedAt() const { return confirmedAt_; }
-    bool loaded() const { return asOf_ > Revision(0); }
+    bool loaded() const { return asOf_.revision > Revision(0); }
 
     /// Calls \a visit(key, value, revision) for each existing key that begins with \a prefix.
     template <class Visit>
@@ -59,6 +70,7 @@
     }
 
 private:
+    void beginEpoch(StoreEpoch epoch);
     bool applyItem(const ReplicaItem &item);
     void removeMissing(const ReplicaUpdate &update, bool &changed);
     void dropTombstones();
@@ -66,8 +78,10 @@
     std::map<std::string, ReplicaItem> items_;
     std::size_t tombstoneCount_ = 0;
     Revision droppedUpTo_; ///< Tombstones up to this revision may be missing.
-    Revision asOf_;
+    StorePosition asOf_;
     Instant confirmedAt_;
+    StoreEpoch latestEpoch_; ///< May be later than the epoch of asOf_.
+    Instant adoptAt_; ///< When the state of latestEpoch_ may be adopted.
 };
 
 /// Compressed CBOR of \a update. Confirmation time is sent as an age, because the clocks of two
--- a/gateway/include/endivequay/statefeed.h
+++ b/gateway/include/endivequay/statefeed.h
@@ -3,6 +3,7 @@
 
 #include "endivequay/controlstore.h"
 #include "endivequay/decisionlog.h"
+#include "endivequay/digest.h"
 
 #include <algorithm>
 #include <functional>
@@ -10,7 +11,7 @@
 namespace endivequay {
 
 /// Replicates the control state from the store: lists it once, then watches for changes, and lists
-/// again when the store has discarded the history. Not thread safe.
+/// again when the store has discarded the history or was restored. Not thread safe.
 ///
 /// Driven by advance(), so retries need no timer of their own.
 template <ControlStore Store>
@@ -26,6 +27,10 @@
     /// because every store call has a cost.
     static constexpr Interval watchInterval = std::chrono::milliseconds(120);
 
+    /// After a restore, an instance with state keeps it for this long. The writers write again what
+    /// the backup lacks; until then, the backup may have withdrawn keys and upstreams that left.
+    static constexpr Interval rewriteTime = std::chrono::milliseconds(1500);
+
     StateFeed(Store &store, Replica &replica, DecisionLog &log, std::function<Instant()> now,
         std::function<void()> changed)
         : store_(store)
@@ -37,11 +42,11 @@
 
     void advance(Instant now)
     {
-        logRestore(now);
-        if (callPending_ || now < retryAt_)
+        checkEpoch(now);
+        if (callPending_ || now < retryAt_ || !replica_.mayAdopt(epoch_, now))
             return;
         callPending_ = true;
-        if (historyCompacted_ || !replica_.loaded())
+        if (historyCompacted_ || !replica_.loaded() || epoch_ > replica_.asOf().epoch)
             list();
         else
             watch();
@@ -50,6 +55,7 @@
     /// Records the success of any store call.
     void storeAnswered(Instant now)
     {
+        checkEpoch(now);
         if (!healthy_) {
             log_.write(EventId::StoreAnswered, "store", now,
                 { { "silent_ms", toSeconds(now - lastAnswerAt_) * 1000 } });
@@ -65,7 +71,7 @@
         if (healthy_)
             log_.write(EventId::StoreSilent, error.reason, now,
                 { { "step", error.step }, { "peer", error.peer }, { "reason", error.reason },
-                    { "state", replica_.asOf().value() } });
+                    { "state", replica_.asOf().revision.value() } });
         healthy_ = false;
     }
 
@@ -73,7 +79,7 @@
     bool healthy() const { return healthy_; }
 
 private:
-    void logRestore(Instant now)
+    void checkEpoch(Instant now)
     {
         const StoreEpoch epoch = store_.epoch();
         if (epoch == epoch_)
@@ -81,8 +87,18 @@
         if (epoch_ != StoreEpoch(0))
             log_.write(EventId::StoreRestored, "restored", now,
                 { { "epoch", epoch.value() }, { "from", epoch_.value() },
-                    { "state", replica_.asOf().value() } });
+                    { "state", replica_.asOf().revision.value() } });
         epoch_ = epoch;
+        replica_.epochSeen(epoch, adoptionDeadline(now));
+        abandonWatch(now);
+    }
+
+    /// When the state of an epoch may be adopted that was seen \a now. The store was restored at an
+    /// unknown time after its last sign of life, and the instance must have caught up in time.
+    Instant adoptionDeadline(Instant now) const
+    {
+        const Instant restoredAfter = std::max(lastAnswerAt_, lastFailedCallAt_);
+        return std::min(now + rewriteTime, restoredAfter + store_.watchTimeout());
     }
 
     void list()
@@ -128,23 +144,27 @@
                 }
                 historyCompacted_ = result->compacted;
                 result->update.confirmedAt = askedAt;
-                if (!result->compacted)
+                if (result->compacted)
+                    storeAnswered(now_());
+                else
                     apply(result->update);
             });
     }
 
     void apply(const ReplicaUpdate &update)
     {
-        storeAnswered(now_());
+        const Instant now = now_();
+        storeAnswered(now);
         backoff_ = initialBackoff;
-        retryAt_ = now_() + watchInterval;
-        if (replica_.apply(update))
+        retryAt_ = now + watchInterval;
+        if (replica_.mayAdopt(update.asOf.epoch, now) && replica_.apply(update))
             changed_();
     }
 
     void handleFailure(const Error &error, Instant askedAt)
     {
         storeFailed(error, now_());
+        lastFailedCallAt_ = askedAt;
         retryAt_ = askedAt + backoff_;
         backoff_ = std::min(backoff_ * 2, maxBackoff);
     }
@@ -161,6 +181,7 @@
     bool healthy_ = true;
     Instant retryAt_;
     Instant lastAnswerAt_;
+    Instant lastFailedCallAt_; ///< When the latest call that failed was sent.
     Interval backoff_ = initialBackoff;
     StoreEpoch epoch_; ///< Latest known epoch.
 };
@@ -170,6 +191,10 @@
 class Registration
 {
 public:
+    /// After a restore the instances register again within this time, so that a large fleet does
+    /// not exceed the write limit of the store.
+    static constexpr Interval reregistrationSpread = std::chrono::seconds(1);
+
     /// Renews after a third of \a leaseTime, so that one lost renewal does not end the lease.
     Registration(Store &store, MemberRecord member, Interval leaseTime,
         std::function<Instant()> now, DecisionLog &log,
@@ -184,6 +209,8 @@
 
     void advance(Instant now)
     {
+        if (lease_ != 0 && store_.epoch() != leaseEpoch_)
+            dropLease(now);
         if (callPending_ || stopped_ || now < nextAt_)
             return;
         callPending_ = true;
@@ -199,7 +226,7 @@
     void stop()
     {
         stopped_ = true;
-        if (lease_ != 0)
+        if (lease_ != 0 && store_.epoch() == leaseEpoch_)
             store_.endLease(lease_, [](const Result<Done> &) {});
         lease_ = 0;
     }
@@ -215,12 +242,25 @@
         return result.hasValue();
     }
 
+    /// A restored store may not know the lease, or have given its id to another instance.
+    void dropLease(Instant now)
+    {
+        log_.write(EventId::RegistrationLost, "restored", now, { { "lease", lease_ } });
+        lease_ = 0;
+        registered_ = false;
+        const auto spreadMs
+            = std::chrono::duration_cast<std::chrono::milliseconds>(reregistrationSpread).count();
+        const auto hash = hash64(member_.id.value()) % static_cast<std::uint64_t>(spreadMs);
+        nextAt_ = now + std::chrono::milliseconds(hash);
+    }
+
     void grant()
     {
         store_.grantLease([this](const Result<LeaseId> &result) {
             if (!succeeded(result) || stopped_)
                 return;
             lease_ = *result;
+            leaseEpoch_ = store_.epoch();
             nextAt_ = now_();
         });
     }
@@ -256,6 +296,7 @@
     DecisionLog &log_;
     std::function<void(const Status &)> reportStatus_;
     LeaseId lease_ = 0;
+    StoreEpoch leaseEpoch_; ///< Epoch in which lease_ was granted.
     bool registered_ = false;
     bool callPending_ = false;
     bool stopped_ = false;
--- a/gateway/include/endivequay/statesources.h
+++ b/gateway/include/endivequay/statesources.h
@@ -40,7 +40,7 @@
     struct Position
     {
         bool loaded = false; ///< False until the first state.
-        Revision asOf;
+        StorePosition asOf;
     };
 
     StateSources(MemberRecord self, std::vector<Address> seeds, bool firstStart,
--- a/gateway/src/entrycore.cpp
+++ b/gateway/src/entrycore.cpp
@@ -32,6 +32,17 @@
     return descriptors > 2 * reservedDescriptors ? (descriptors - reservedDescriptors) / 2 : 0;
 }
 
+/// Value of a query parameter that is a whole number; 0 if it is missing, none if it is malformed.
+std::optional<std::int64_t> numberParameter(const HttpMessage &request, std::string_view name)
+{
+    const std::string text = request.query(name).value_or("0");
+    std::int64_t value = 0;
+    const char *end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value);
+    const bool valid = parsed.ec == std::errc {} && parsed.ptr == end && value >= 0;
+    return valid ? std::optional(value) : std::nullopt;
+}
+
 std::uint64_t generateIncarnation()
 {
     std::random_device device;
@@ -97,7 +108,7 @@
     if (state.upstreams.size() != upstreamCount_ || draining != drainingCount_)
         log_.write(EventId::UpstreamsChanged, "changed", now,
             { { "upstreams", state.upstreams.size() }, { "draining", draining },
-                { "state", replica_.asOf().value() } });
+                { "state", replica_.asOf().revision.value() } });
     upstreamCount_ = state.upstreams.size();
     drainingCount_ = draining;
     if (state.evacuated != evacuated_) {
@@ -105,7 +116,7 @@
         for (const FailureDomainId &domain : state.evacuated)
             names += (names.empty() ? "" : " ") + domain.value();
         log_.write(EventId::EvacuationChanged, names, now,
-            { { "domains", names }, { "state", replica_.asOf().value() } });
+            { { "domains", names }, { "state", replica_.asOf().revision.value() } });
     }
     evacuated_ = state.evacuated;
     for (const Error &error : state.rejected)
@@ -127,7 +138,7 @@
             { { "config", state.table->version().value() },
                 { "routes", state.table->document().routes.size() },
                 { "teams", state.table->document().teams.size() },
-                { "state", replica_.asOf().value() } });
+                { "state", replica_.asOf().revision.value() } });
         gateway_->setLimits(state.table->document().callers);
         engine_.setTable(state.table, at);
     }
@@ -152,14 +163,12 @@
 HttpMessage EntryCore::stateResponse(const HttpMessage &request) const
 {
     HttpMessage response;
-    const std::string after = request.query("after").value_or("0");
-    std::int64_t revision = 0;
-    const auto parsed = std::from_chars(after.data(), after.data() + after.size(), revision);
-    const bool valid
-        = parsed.ec == std::errc {} && parsed.ptr == after.data() + after.size() && revision >= 0;
-    response.status = !valid ? 400 : replica_.loaded() ? 200 : 503;
+    const auto epoch = numberParameter(request, "epoch");
+    const auto revision = numberParameter(request, "after");
+    response.status = !epoch || !revision ? 400 : replica_.loaded() ? 200 : 503;
     if (response.status == 200)
-        response.body = encodeUpdate(replica_.updates(Revision(revision)), now());
+        response.body = encodeUpdate(
+            replica_.updates(StorePosition(Revision(*revision), StoreEpoch(*epoch))), now());
     return response;
 }
 
@@ -171,7 +180,8 @@
     TrafficMetrics snapshot = metrics_;
     snapshot.set("endivequay_config_version",
         engine_.table() == nullptr ? 0 : static_cast<double>(engine_.table()->version().value()));
-    snapshot.set("endivequay_state_revision", static_cast<double>(replica_.asOf().value()));
+    snapshot.set(
+        "endivequay_state_revision", static_cast<double>(replica_.asOf().revision.value()));
     snapshot.set("endivequay_open_requests", static_cast<double>(engine_.openRequests()));
     snapshot.set("endivequay_message_bytes", static_cast<double>(budget_.used()));
     snapshot.set("endivequay_connections", static_cast<double>(gateway_->connectionCount()));
--- a/gateway/src/entrypeers.cpp
+++ b/gateway/src/entrypeers.cpp
@@ -16,6 +16,10 @@
 constexpr Interval seedOnlyDuration = std::chrono::milliseconds(300);
 constexpr Interval seedOnlyDurationAtFirstStart = std::chrono::seconds(2);
 
+/// Delay before the state of an epoch is taken from a peer that may have just started, and so has
+/// taken a backup that lacks the last writes. Readers of the store wait as long.
+constexpr Interval peerAdoptionDelay = std::chrono::milliseconds(1500);
+
 /// Minimum delay between a heartbeat and an early one that announces a state change.
 constexpr Interval announceInterval = std::chrono::milliseconds(100);
 
@@ -90,12 +94,20 @@
     }
 }
 
+void EntryCore::peerStateSeen(const StorePosition &position, Instant now)
+{
+    // Instances of a small fleet read the store themselves and wait for its writers. In a large
+    // fleet the reader has waited before it announces its position.
+    replica_.epochSeen(position.epoch, relay_.isLarge() ? now : now + peerAdoptionDelay);
+    if (position > replica_.asOf() && replica_.mayAdopt(position.epoch, now))
+        sources_.markBehind(now);
+}
+
 void EntryCore::handle(const PeerHeartbeat &heartbeat)
 {
     const Instant at = now();
     peers_.recordReport(heartbeat, at);
-    if (heartbeat.stateAsOf > replica_.asOf())
-        sources_.markBehind(at);
+    peerStateSeen(heartbeat.stateAsOf, at);
 }
 
 void EntryCore::handle(const DomainDigest &digest)
@@ -114,10 +126,8 @@
     } else {
         peers_.recordReport(digest, at);
     }
-    const bool ahead = std::ranges::any_of(digest.members,
-        [&](const MemberState &state) { return state.stateAsOf > replica_.asOf(); });
-    if (ahead)
-        sources_.markBehind(at);
+    for (const MemberState &state : digest.members)
+        peerStateSeen(state.stateAsOf, at);
     if (digest.forwarded || isOwnDomain)
         return;
     DomainDigest forwardedDigest = digest;
@@ -243,7 +253,8 @@
     const Instant at = now();
     HttpMessage request;
     request.method = "GET";
-    request.target = fmt::format("/v1/state?after={}", replica_.asOf().value());
+    request.target = fmt::format("/v1/state?epoch={}&after={}", replica_.asOf().epoch.value(),
+        replica_.asOf().revision.value());
     request.fields.push_back({ "Host", source.value() });
     HttpCall call { source, serializeRequest(request), sources_.requestStarted(position(), at),
         true, false, {}, {}, {} };
@@ -275,9 +286,10 @@
         return;
     }
     log_.write(EventId::StateFromPeer, source.value(), now(),
-        { { "peer", source.value() }, { "from", replica_.asOf().value() },
-            { "to", update->asOf.value() }, { "items", update->items.size() } });
-    if (replica_.apply(*update))
+        { { "peer", source.value() }, { "from", replica_.asOf().revision.value() },
+            { "to", update->asOf.revision.value() }, { "epoch", update->asOf.epoch.value() },
+            { "items", update->items.size() } });
+    if (replica_.mayAdopt(update->asOf.epoch, now()) && replica_.apply(*update))
         changed();
 }
 
--- a/gateway/src/peermessages.cpp
+++ b/gateway/src/peermessages.cpp
@@ -52,6 +52,19 @@
     return index < message.size() && message[index].get<bool>();
 }
 
+/// Index of the epoch in a heartbeat and in the entry of an instance in a digest.
+constexpr std::size_t epochIndex = 8;
+
+/// Position in a message that has the revision at \a revisionIndex. Versions without epochs send
+/// none.
+StorePosition positionFrom(const Json &message, std::size_t revisionIndex)
+{
+    const std::int64_t epoch
+        = epochIndex < message.size() ? message[epochIndex].get<std::int64_t>() : 0;
+    return StorePosition(
+        Revision(message.at(revisionIndex).get<std::int64_t>()), StoreEpoch(epoch));
+}
+
 std::string toCbor(const Json &message)
 {
     const auto bytes = Json::to_cbor(message);
@@ -104,10 +117,10 @@
 std::string encodeHeartbeat(const PeerHeartbeat &heartbeat)
 {
     return toCbor(Json::array({ heartbeat.id.value(), heartbeat.incarnation, heartbeat.leaving,
-        heartbeat.stateAsOf.value(), toMillis(heartbeat.stateAge),
+        heartbeat.stateAsOf.revision.value(), toMillis(heartbeat.stateAge),
         heartbeat.demand ? ratesToJson(*heartbeat.demand) : Json(nullptr),
-        heartbeat.member ? memberToJson(*heartbeat.member) : Json(nullptr),
-        heartbeat.overloaded }));
+        heartbeat.member ? memberToJson(*heartbeat.member) : Json(nullptr), heartbeat.overloaded,
+        heartbeat.stateAsOf.epoch.value() }));
 }
 
 namespace {
@@ -118,7 +131,7 @@
     heartbeat.id = InstanceId(message.at(0).get<std::string>());
     heartbeat.incarnation = message.at(1).get<std::uint64_t>();
     heartbeat.leaving = message.at(2).get<bool>();
-    heartbeat.stateAsOf = Revision(message.at(3).get<std::int64_t>());
+    heartbeat.stateAsOf = positionFrom(message, 3);
     heartbeat.stateAge = intervalFromJson(message.at(4));
     if (!message.at(5).is_null())
         heartbeat.demand = ratesFromJson(message.at(5));
@@ -137,7 +150,7 @@
     for (const Json &item : message.at(1)) {
         MemberState state { InstanceId(item.at(0).get<std::string>()),
             item.at(1).get<std::uint64_t>(), intervalFromJson(item.at(2)), item.at(3).get<bool>(),
-            Revision(item.at(4).get<std::int64_t>()), intervalFromJson(item.at(5)), {} };
+            positionFrom(item, 4), intervalFromJson(item.at(5)), {} };
         if (!item.at(6).is_null())
             state.member = memberFromJson(item.at(6));
         state.overloaded = optionalFlag(item, 7);
@@ -182,8 +195,9 @@
     Json members = Json::array();
     for (const MemberState &state : digest.members)
         members.push_back({ state.id.value(), state.incarnation, toMillis(state.age), state.leaving,
-            state.stateAsOf.value(), toMillis(state.stateAge),
-            state.member ? memberToJson(*state.member) : Json(nullptr), state.overloaded });
+            state.stateAsOf.revision.value(), toMillis(state.stateAge),
+            state.member ? memberToJson(*state.member) : Json(nullptr), state.overloaded,
+            state.stateAsOf.epoch.value() });
     return toCbor(Json::array(
         { Json::array({ digest.relay.value(), digest.domain.value(), digest.forwarded }),
             std::move(members), ratesToJson(digest.demand) }));
--- a/gateway/src/replica.cpp
+++ b/gateway/src/replica.cpp
@@ -48,10 +48,10 @@
     std::set<std::string_view> present;
     std::ranges::for_each(update.items, [&](const auto &item) { present.insert(item.key); });
     for (auto &[key, item] : items_) {
-        if (!item.value || item.revision > update.asOf || present.contains(key))
+        if (!item.value || item.revision > update.asOf.revision || present.contains(key))
             continue;
         item.value.reset();
-        item.revision = update.asOf;
+        item.revision = update.asOf.revision;
         ++tombstoneCount_;
         changed = true;
     }
@@ -63,14 +63,34 @@
         return;
     std::erase_if(items_, [](const auto &entry) { return !entry.second.value; });
     tombstoneCount_ = 0;
-    droppedUpTo_ = asOf_;
+    droppedUpTo_ = asOf_.revision;
+}
+
+void Replica::epochSeen(StoreEpoch epoch, Instant adoptAt)
+{
+    if (epoch <= latestEpoch_)
+        return;
+    latestEpoch_ = epoch;
+    adoptAt_ = adoptAt;
+}
+
+void Replica::beginEpoch(StoreEpoch epoch)
+{
+    items_.clear();
+    tombstoneCount_ = 0;
+    droppedUpTo_ = {};
+    asOf_ = StorePosition({}, epoch);
+    latestEpoch_ = std::max(latestEpoch_, epoch);
 }
 
 bool Replica::apply(const ReplicaUpdate &update)
 {
-    if (!update.isSnapshot && !loaded())
+    const bool isLater = update.asOf.epoch > asOf_.epoch;
+    if (update.asOf.epoch < asOf_.epoch || (!update.isSnapshot && (isLater || !loaded())))
         return false;
-    bool changed = false;
+    if (isLater)
+        beginEpoch(update.asOf.epoch);
+    bool changed = isLater;
     for (const ReplicaItem &item : update.items) {
         // The tombstone of this key may have been dropped; an older value must not reappear.
         const bool mayBeRemoved = item.revision <= droppedUpTo_ && !items_.contains(item.key);
@@ -81,7 +101,7 @@
         removeMissing(update, changed);
         // A snapshot does not tell which keys were removed before it, so that peers that are behind
         // it need a snapshot as well.
-        droppedUpTo_ = std::max(droppedUpTo_, update.asOf);
+        droppedUpTo_ = std::max(droppedUpTo_, update.asOf.revision);
     }
     if (update.asOf >= asOf_) {
         asOf_ = update.asOf;
@@ -91,11 +111,14 @@
     return changed;
 }
 
-ReplicaUpdate Replica::updates(Revision since) const
+ReplicaUpdate Replica::updates(StorePosition since) const
 {
-    ReplicaUpdate update { {}, asOf_, since < droppedUpTo_ || since == Revision(0), confirmedAt_ };
+    const bool isSnapshot = since.epoch != asOf_.epoch || since.revision < droppedUpTo_
+        || since.revision == Revision(0);
+    ReplicaUpdate update { {}, asOf_, isSnapshot, confirmedAt_ };
     for (const auto &[key, item] : items_) {
-        const bool included = update.isSnapshot ? item.value.has_value() : item.revision > since;
+        const bool included
+            = update.isSnapshot ? item.value.has_value() : item.revision > since.revision;
         if (included)
             update.items.push_back(item);
     }
@@ -108,7 +131,8 @@
     for (const ReplicaItem &item : update.items)
         items.push_back({ item.key, item.revision.value(),
             item.value ? toBinary(*item.value) : Json(nullptr) });
-    const Json message { { "as_of", update.asOf.value() }, { "whole", update.isSnapshot },
+    const Json message { { "as_of", update.asOf.revision.value() },
+        { "epoch", update.asOf.epoch.value() }, { "whole", update.isSnapshot },
         { "age", toSeconds(now - update.confirmedAt) }, { "items", std::move(items) } };
     const auto bytes = Json::to_cbor(message);
     return compressed({ reinterpret_cast<const char *>(bytes.data()), bytes.size() });
@@ -122,7 +146,9 @@
     try {
         const Json message = detail::parseCbor(*content);
         ReplicaUpdate update;
-        update.asOf = Revision(message.at("as_of").get<std::int64_t>());
+        // Instances of earlier versions send no epoch.
+        update.asOf = StorePosition(Revision(message.at("as_of").get<std::int64_t>()),
+            StoreEpoch(message.value("epoch", std::int64_t { 0 })));
         update.isSnapshot = message.at("whole").get<bool>();
         const double age = std::max(0.0, message.at("age").get<double>());
         update.confirmedAt = askedAt - fromSeconds(std::min(age, 86400.0));
--- a/gateway/test/entrycore_test.cpp
+++ b/gateway/test/entrycore_test.cpp
@@ -141,7 +141,7 @@
 {
     ReplicaUpdate update;
     update.isSnapshot = true;
-    update.asOf = Revision(7);
+    update.asOf = StorePosition(Revision(7));
     core.replica().apply(update);
     const auto status = [&](const std::string &after) {
         HttpMessage request;
--- a/gateway/test/peers_test.cpp
+++ b/gateway/test/peers_test.cpp
@@ -18,7 +18,7 @@
 
 PeerHeartbeat heartbeatFrom(const MemberRecord &from)
 {
-    return { from.id, from.incarnation, from, false, Revision(5), 100ms, {} };
+    return { from.id, from.incarnation, from, false, StorePosition(Revision(5)), 100ms, {} };
 }
 
 } // namespace
@@ -203,7 +203,8 @@
 
     MemberState stateOf(std::size_t index) const
     {
-        return { members[index].id, members[index].incarnation, {}, false, Revision(5), {}, {} };
+        return { members[index].id, members[index].incarnation, {}, false,
+            StorePosition(Revision(5)), {}, {} };
     }
 
     static double demandIn(const PeerTable &table, const std::string &domain)
@@ -368,7 +369,8 @@
     table.recordMessage(InstanceId("p"), now);
     CHECK_FALSE(PeerTable::isSuspected(table.peers().at(InstanceId("p")), now));
     CHECK(table.views()[0].lastSeenAt == now);
-    const MemberState leaving { InstanceId("p"), 1, 500ms, true, Revision(9), {}, {} };
+    const MemberState leaving { InstanceId("p"), 1, 500ms, true, StorePosition(Revision(9)), {},
+        {} };
     table.recordReport(
         DomainDigest { InstanceId("r"), FailureDomainId("w-a"), false, { leaving }, {} }, now);
     CHECK(table.peers().at(InstanceId("p")).leaving);
--- a/gateway/test/statefeed_test.cpp
+++ b/gateway/test/statefeed_test.cpp
@@ -12,15 +12,18 @@
 struct ScriptedStore
 {
     std::vector<Callback<ReplicaUpdate>> lists;
-    std::vector<std::pair<Revision, Callback<WatchResult>>> watches;
+    std::vector<std::pair<StorePosition, Callback<WatchResult>>> watches;
     std::vector<Callback<LeaseId>> grants;
     std::vector<std::pair<LeaseId, Callback<Done>>> registrations;
     std::vector<std::pair<LeaseId, Callback<bool>>> renewals;
     std::vector<LeaseId> ended;
 
-    StoreEpoch epoch() const { return {}; }
+    StoreEpoch currentEpoch;
+
+    StoreEpoch epoch() const { return currentEpoch; }
+    Interval watchTimeout() const { return 2200ms; }
     void list(Callback<ReplicaUpdate> done) { lists.push_back(std::move(done)); }
-    void watch(Revision after, Callback<WatchResult> done)
+    void watch(StorePosition after, Callback<WatchResult> done)
     {
         watches.emplace_back(after, std::move(done));
     }
@@ -40,7 +43,8 @@
 
 ReplicaUpdate update(std::int64_t asOf, bool isSnapshot)
 {
-    return { { { "k", std::to_string(asOf), Revision(asOf) } }, Revision(asOf), isSnapshot, {} };
+    return { { { "k", std::to_string(asOf), Revision(asOf) } }, StorePosition(Revision(asOf)),
+        isSnapshot, {} };
 }
 
 } // namespace
@@ -74,10 +78,10 @@
 {
     loadState();
     LONGS_EQUAL(1, store.watches.size());
-    CHECK(store.watches[0].first == Revision(5));
+    CHECK(store.watches[0].first == StorePosition(Revision(5)));
     store.watches[0].second(WatchResult { update(9, false), false });
     advanceClock(1s);
-    CHECK(store.watches[1].first == Revision(9));
+    CHECK(store.watches[1].first == StorePosition(Revision(9)));
     LONGS_EQUAL(2, changes);
 }
 
@@ -123,7 +127,7 @@
     LONGS_EQUAL(2, store.lists.size());
     store.lists.back()(update(30, true));
     advanceClock(1s);
-    CHECK(store.watches.back().first == Revision(30));
+    CHECK(store.watches.back().first == StorePosition(Revision(30)));
 }
 
 // Guards against a watch that fetches changes again that a peer already delivered.
@@ -133,7 +137,7 @@
     replica.apply(update(20, false));
     store.watches.back().second(storeError);
     advanceClock(1s);
-    CHECK(store.watches.back().first == Revision(20));
+    CHECK(store.watches.back().first == StorePosition(Revision(20)));
 }
 
 TEST_GROUP(Registration)
@@ -175,6 +179,26 @@
     LONGS_EQUAL(8, store.registrations.back().first);
 }
 
+// Guards against an instance that takes the lease of another one for its own: a restored store
+// gives the ids of the leases that it lost out again.
+TEST(Registration, LeaseOfAnEarlierEpochIsReplaced)
+{
+    store.currentEpoch = StoreEpoch(1);
+    registerInstance();
+    store.currentEpoch = StoreEpoch(2);
+    advanceClock(0s);
+    CHECK_FALSE(registration.registered());
+    advanceClock(Registration<ScriptedStore>::reregistrationSpread);
+    LONGS_EQUAL(2, store.grants.size());
+    store.grants.back()(LeaseId { 7 });
+    advanceClock(0s);
+    store.registrations.back().second(Done {});
+    CHECK(registration.registered());
+    store.currentEpoch = StoreEpoch(3);
+    registration.stop();
+    CHECK(store.ended.empty());
+}
+
 // Guards against a registration that is given up after one failed renewal.
 TEST(Registration, LostRenewalIsRepeated)
 {
--- a/gateway/test/statesources_test.cpp
+++ b/gateway/test/statesources_test.cpp
@@ -22,8 +22,8 @@
     const MemberRecord self = member("self", "w-a");
     PeerTable peers { InstanceId("self") };
     FleetRelay relay { self, peers };
-    const StateSources::Position none { false, Revision(0) };
-    const StateSources::Position at5 { true, Revision(5) };
+    const StateSources::Position none { false, StorePosition(Revision(0)) };
+    const StateSources::Position at5 { true, StorePosition(Revision(5)) };
 
     StateSources makeSources(bool firstStart = false)
     {
@@ -33,8 +33,9 @@
 
     void addHeartbeat(const std::string &id, const std::string &domain, std::int64_t asOf)
     {
-        peers.recordReport(
-            { InstanceId(id), 1, member(id, domain), false, Revision(asOf), 100ms, {} }, now);
+        peers.recordReport({ InstanceId(id), 1, member(id, domain), false,
+                               StorePosition(Revision(asOf)), 100ms, {} },
+            now);
     }
 
     void addLargeFleet(std::int64_t asOf)
