Count header fields in the memory budget of connections

Cause: the budget of bytes counted bodies and unparsed input. Parsed header fields were not in it, and a field of four bytes takes 64 and more, so that a head of 16 KB takes up to 280 kB. Change: fields of unfinished requests and of those in work count with the memory that they take. A stalled request gives way as before.

--- a/gateway/include/endivequay/httpmessage.h
+++ b/gateway/include/endivequay/httpmessage.h
@@ -32,6 +32,9 @@
     const std::string *field(std::string_view name) const;
     /// Target without the query.
     std::string_view path() const;
+    /// Memory of the header fields in bytes, approximately. A field of a few bytes takes many times
+    /// its length.
+    std::size_t fieldMemory() const;
     /// Decoded value of the query parameter \a name.
     std::optional<std::string> query(std::string_view name) const;
 };
@@ -88,6 +91,11 @@
     bool started() const { return started_; }
     bool headerComplete() const { return headerComplete_; }
     HttpMessage &message() { return message_; }
+    /// Memory of the unfinished message in bytes, approximately.
+    std::size_t memory() const
+    {
+        return message_.fields.capacity() * sizeof(HttpField) + headerBytes_ + message_.body.size();
+    }
 
 private:
     static HttpParser &self(http_parser *parser)
--- a/gateway/src/edgeconnection.h
+++ b/gateway/src/edgeconnection.h
@@ -173,7 +173,7 @@
     /// Occupies memory for what is received and has not started.
     bool holdInput()
     {
-        const std::size_t bytes = input_.size() + parser_.message().body.size();
+        const std::size_t bytes = input_.size() + parser_.memory();
         while (!inputBytes_.resize(bytes))
             if (!server_.reclaimMemory(*this))
                 return false;
@@ -253,7 +253,7 @@
         continueSent_ = false;
         const ExchangeId id = server_.nextExchangeId_++;
         ByteReservation held(server_.handlers_.budget);
-        held.force(message.body.size());
+        held.force(message.body.size() + message.fieldMemory());
         inputBytes_.force(input_.size());
         pending_.push_back(
             { id, message.keepAlive, message.method == "HEAD", {}, std::move(held) });
--- a/gateway/src/httpmessage.cpp
+++ b/gateway/src/httpmessage.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <array>
+#include <functional>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace endivequay {
@@ -106,6 +108,13 @@
     return std::nullopt;
 }
 
+std::size_t HttpMessage::fieldMemory() const
+{
+    return std::transform_reduce(fields.begin(), fields.end(),
+        fields.capacity() * sizeof(HttpField), std::plus {},
+        [](const HttpField &field) { return field.name.size() + field.value.size(); });
+}
+
 bool isHopByHop(std::string_view name)
 {
     static constexpr std::array<std::string_view, 10> names { "connection", "keep-alive",
