Refuse requests that a stopping instance would cut off

What callers saw: requests sent after the signal of a planned stop were taken, passed on and cut at the end of the grace period with no answer, among them requests that may run only once. Cause: a stopping instance took every request until 2.8 s after the signal, whatever its runs last, and sent waiting requests and second attempts without a look at its own end. Change: the engine knows when the process ends. It neither takes nor sends a request that would not end by then at twice the mean duration of its route; such a request is refused at once as not run, so that its caller goes to another instance. Conclusion: runs longer than twice their mean can still be cut at the end. A route without a finished run since the start is not limited.

--- a/engine/include/endivequay/requestengine.h
+++ b/engine/include/endivequay/requestengine.h
@@ -120,6 +120,9 @@
     /// second.
     void setPeers(std::vector<PeerView> peers, Instant now);
 
+    /// From now on, neither takes nor sends requests that are unlikely to end before \a deadline,
+    /// at which the process ends.
+    void stopBy(Instant deadline) { stopAt_ = deadline; }
     /// Refuses all further requests as not run.
     void stopAccepting() { accepting_ = false; }
 
@@ -225,6 +228,7 @@
     void expireTokenWaits(Instant now, std::vector<std::pair<RequestId, Step>> &steps);
     Step queueOrRefuse(RequestId requestId, Request &request, Instant now);
     Step finish(RequestId requestId, Step step);
+    bool endsBeforeStop(const RequestRoute &route, Instant now) const;
     Step retry(RequestId requestId, Request &request, const AttemptOutcome &outcome, Instant now);
     LocalResponse refusal(const Request &request, LocalResponseCause cause, Instant now) const;
     void endAttempt(Request &request, const AttemptOutcome &outcome, Instant now);
@@ -255,6 +259,7 @@
     std::vector<TokenRequest> tokenRequests_;
     std::map<RequestId, TokenWait> tokenWaits_; ///< Requests that wait for a token.
     bool accepting_ = true;
+    std::optional<Instant> stopAt_; ///< When the process ends, if it is stopping.
     bool rebalancePending_ = false;
     Instant rebalanceAt_; ///< Earliest time of the next rebalance.
     Instant firstRebalanceAt_; ///< Time of the first rebalance.
--- a/engine/src/requestengine.cpp
+++ b/engine/src/requestengine.cpp
@@ -16,6 +16,10 @@
 /// instance.
 constexpr Interval stoppingRetryDelay = std::chrono::milliseconds(20);
 
+/// A stopping instance expects a run to take this many times the mean of its route: an upstream
+/// with a cold cache takes up to three times as long as a warm one.
+constexpr double stopDurationFactor = 2;
+
 /// Retry time sent by an instance without a configuration: after a restart it has one within about
 /// half a second, and callers retry only once. The jitter spreads the retries.
 constexpr double noConfigurationRetrySeconds = 0.7;
@@ -183,6 +187,8 @@
     if (table_->document().keysRequired && !route->open && team == nullptr)
         return LocalResponse { 401,
             info.key ? LocalResponseCause::UnknownKey : LocalResponseCause::MissingKey, {} };
+    if (!endsBeforeStop(*route, now))
+        return LocalResponse { 503, LocalResponseCause::Stopping, stoppingRetryDelay };
     Request request;
     request.table = table_;
     request.route = route;
@@ -421,7 +427,7 @@
         || !services_[request.service].budget.tryTake()) {
         return giveUp();
     }
-    if (request.finalDeadline <= now)
+    if (request.finalDeadline <= now || !endsBeforeStop(*request.route, now))
         return giveUp();
     request.regions = regionsFor(request, now);
     if (auto step = trySend(requestId, request, now))
@@ -460,12 +466,27 @@
     }
 }
 
+bool RequestEngine::endsBeforeStop(const RequestRoute &route, Instant now) const
+{
+    const auto stats = routes_.find(route.id);
+    if (!stopAt_ || stats == routes_.end())
+        return true;
+    return now + fromSeconds(stopDurationFactor * stats->second.meanAttemptSeconds) <= *stopAt_;
+}
+
 void RequestEngine::dispatch(Instant now, std::vector<std::pair<RequestId, Step>> &steps)
 {
     for (const ServiceId &service : queue_.services()) {
         std::size_t failed = 0;
         for (const QueuePosition &position : queue_.ordered(service)) {
             Request &request = requests_.at(position.requestId);
+            if (!endsBeforeStop(*request.route, now)) {
+                queue_.remove(service, position);
+                LocalResponse answer = refusal(request, LocalResponseCause::Stopping, now);
+                answer.retryAfter = answer.status == 503 ? stoppingRetryDelay : Interval {};
+                steps.emplace_back(position.requestId, finish(position.requestId, answer));
+                continue;
+            }
             if (failed < maxDispatchFailures) {
                 if (auto step = trySend(position.requestId, request, now)) {
                     queue_.remove(service, position);
--- a/gateway/include/endivequay/entrynode.h
+++ b/gateway/include/endivequay/entrynode.h
@@ -323,6 +323,7 @@
         core_.beginShutdown();
         forcedStopAt_ = now + core_.settings().shutdownGracePeriod - stopMargin;
         drainEndsAt_ = now + drainDuration;
+        core_.engine().stopBy(forcedStopAt_);
         registration_.stop();
         core_.gateway().startDraining();
         core_.sendHeartbeat(std::nullopt);
