Bound all unfinished responses of upstreams together

What callers saw (report of other operators): upstreams sent bytes without end; the instance kept them, ran out of memory, and the requests of other callers ended with it. Cause: one response was limited to 16 MB, and all together to an eighth of the memory, but a response below 1 MB never failed. Many at once stayed below it. Heads were not counted. Change: heads count; beyond the limit the largest unfinished response fails, until the rest is below the limit or none is above 64 KiB. The smaller responses of sound upstreams are not affected. Conclusion: what remains is 64 KiB for each open request beside the limit.

--- a/gateway/include/endivequay/edgeclient.h
+++ b/gateway/include/endivequay/edgeclient.h
@@ -61,10 +61,11 @@
     {
         /// A server in trouble may send bytes without end. The largest responses are far smaller.
         HttpLimits message { std::size_t { 16 } * 1024, std::size_t { 16 } * 1024 * 1024 };
-        /// Limit of the bodies of all unfinished responses together, in bytes: a fraction of the
-        /// memory of a small machine. Beyond it, responses larger than smallBodyBytes fail.
+        /// Limit of all unfinished responses together, in bytes: a fraction of the memory of a
+        /// small machine. Beyond it, the largest one fails, unless all are smaller than
+        /// smallResponseBytes.
         std::size_t bufferedBytes = std::size_t { 32 } * 1024 * 1024;
-        std::size_t smallBodyBytes = std::size_t { 1024 } * 1024;
+        std::size_t smallResponseBytes = std::size_t { 64 } * 1024;
         /// Interim responses and responses to other requests that are skipped for one call.
         int maxSkippedResponses = 8;
         Interval connectTimeout
@@ -100,13 +101,15 @@
     void connect(const std::shared_ptr<Connection> &connection);
     void addIdle(const std::shared_ptr<Connection> &connection);
     void remove(Connection &connection);
+    /// Fails the largest unfinished responses while these exceed their limit.
+    void limitBufferedBytes();
 
     asio::io_context &loop_;
     Limits limits_;
     std::function<Instant()> now_;
     CallId nextCallId_ = 1;
     std::uint64_t openedConnections_ = 0;
-    std::size_t bufferedBytes_ = 0; ///< Bodies of all unfinished responses.
+    std::size_t bufferedBytes_ = 0; ///< All unfinished responses.
     std::unordered_map<CallId, std::shared_ptr<Connection>> calls_;
     std::unordered_map<Address, std::vector<std::shared_ptr<Connection>>> idle_;
 };
--- a/gateway/src/edgeclient.cpp
+++ b/gateway/src/edgeclient.cpp
@@ -127,6 +127,11 @@
     bool closed() const { return closed_; }
     const Address &address() const { return address_; }
     Instant idleUntil() const { return idleUntil_; }
+    std::size_t bufferedBytes() const { return bufferedBytes_; }
+    void failForMemory()
+    {
+        fail(CallResult::Kind::Broken, "too many bytes of unfinished responses");
+    }
 
     void failAsync(CallResult::Kind kind, std::string reason)
     {
@@ -251,10 +256,9 @@
         }
         while (!bytes.empty()) {
             bytes.remove_prefix(parser_.feed(bytes));
-            setBufferedBytes(parser_.message().body.size());
+            setBufferedBytes(parser_.memory());
             if (parser_.state() == HttpParser::State::Reading) {
-                if (exceedsBuffer())
-                    fail(CallResult::Kind::Broken, "too many bytes of unfinished responses");
+                client_.limitBufferedBytes();
                 return;
             }
             if (parser_.state() != HttpParser::State::Complete) {
@@ -293,12 +297,6 @@
         held_.force(bytes);
     }
 
-    bool exceedsBuffer() const
-    {
-        return client_.bufferedBytes_ > client_.limits_.bufferedBytes
-            && bufferedBytes_ > client_.limits_.smallBodyBytes;
-    }
-
     bool matchesCall()
     {
         const HttpMessage &response = parser_.message();
@@ -351,7 +349,7 @@
     Callback done_;
     Instant connectDeadline_;
     Instant idleUntil_;
-    std::size_t bufferedBytes_ = 0; ///< Body of the unfinished response.
+    std::size_t bufferedBytes_ = 0; ///< Memory of the unfinished response.
     ByteReservation held_; ///< The same bytes.
     int skippedResponses_ = 0; ///< For the current call.
     bool isFirstCall_ = true; ///< No response was completed on this connection.
@@ -446,6 +444,19 @@
         idle_.erase(found);
 }
 
+void EdgeClient::limitBufferedBytes()
+{
+    while (bufferedBytes_ > limits_.bufferedBytes) {
+        const auto largest = std::ranges::max_element(
+            calls_, {}, [](const auto &call) { return call.second->bufferedBytes(); });
+        if (largest == calls_.end()
+            || largest->second->bufferedBytes() <= limits_.smallResponseBytes)
+            return;
+        const auto connection = largest->second; // Its failure removes the call.
+        connection->failForMemory();
+    }
+}
+
 void EdgeClient::advance(Instant now)
 {
     std::vector<std::shared_ptr<Connection>> toCheck;
