Send nothing more to an upstream that says it is leaving

Cause: the header was not read; the instance learned of a leaving only from service discovery. Change: the engine keeps for each upstream that it said in a response that it leaves. It gets nothing more in this run (id and start), whatever older entry arrives. A 421 is another server's answer and says nothing. The header still goes on to the caller, as other headers do.

--- a/engine/include/endivequay/requestengine.h
+++ b/engine/include/endivequay/requestengine.h
@@ -85,6 +85,7 @@
     bool hasResponse = false; ///< A complete response that can be forwarded.
     bool mayHaveRun = true;
     std::optional<Occupancy> occupancy;
+    bool upstreamLeaving = false; ///< The response says that the upstream is leaving.
 };
 
 /// Identity and location of this instance.
--- a/engine/include/endivequay/upstreamset.h
+++ b/engine/include/endivequay/upstreamset.h
@@ -125,6 +125,9 @@
     /// \a relativeTime is the duration of the attempt divided by the mean duration of its route.
     void attemptFinished(
         const UpstreamId &id, AttemptResult result, double relativeTime, Instant now);
+    /// The upstream says in a response that it is leaving. It gets no further requests in this run,
+    /// whatever its entry says: the instance may be cut off from service discovery.
+    void leavingReported(const UpstreamId &id);
     void occupancyReported(const UpstreamId &id, const Occupancy &occupancy, Instant now);
 
     /// Whether upstreams of \a service report how long work takes at the moment.
@@ -143,6 +146,7 @@
         std::uint64_t hash = 0;
         bool listed = true; ///< In the latest entries; otherwise kept until its requests end.
         bool evacuated = false;
+        bool saidLeaving = false; ///< In a response of this run.
         int inFlight = 0;
         double otherRequests = 0; ///< Requests of other instances, according to the latest report.
         double meanOtherRequests = 0; ///< Moving average of otherRequests.
--- a/engine/src/requestengine.cpp
+++ b/engine/src/requestengine.cpp
@@ -391,6 +391,8 @@
             service.locality.observe(cold, domainMembers_);
     }
     upstreams_.attemptFinished(*request.currentUpstream, outcome.result, relative, now);
+    if (outcome.upstreamLeaving)
+        upstreams_.leavingReported(*request.currentUpstream);
     if (outcome.occupancy)
         upstreams_.occupancyReported(*request.currentUpstream, *outcome.occupancy, now);
     request.currentUpstream.reset();
--- a/engine/src/upstreamset.cpp
+++ b/engine/src/upstreamset.cpp
@@ -93,7 +93,7 @@
 
 bool UpstreamSet::acceptsRequests(const State &state)
 {
-    return state.listed && !state.entry.draining && !state.evacuated;
+    return state.listed && !state.entry.draining && !state.saidLeaving && !state.evacuated;
 }
 
 std::span<UpstreamSet::State *const> UpstreamSet::statesOf(
@@ -335,6 +335,12 @@
         makeCold(state, state.ejectedUntil + service->second.coldDuration, now);
 }
 
+void UpstreamSet::leavingReported(const UpstreamId &id)
+{
+    if (State *state = find(id))
+        state->saidLeaving = true;
+}
+
 void UpstreamSet::attemptFinished(
     const UpstreamId &id, AttemptResult result, double relativeTime, Instant now)
 {
--- a/engine/test/requestengine_test.cpp
+++ b/engine/test/requestengine_test.cpp
@@ -215,6 +215,33 @@
     LONGS_EQUAL(502, answeredLocally(f.engine.attemptEnded(2, interruptedAttempt, f.now))->status);
 }
 
+// Guards against requests to an upstream that said in a response that it leaves, while service
+// discovery cannot be reached or still has its entry of before.
+TEST(RequestEngine, UpstreamThatSaysItLeavesGetsNothingMore)
+{
+    const std::vector<UpstreamEntry> entries { upstream("u1"), upstream("u2") };
+    f.start(document(), entries);
+    const auto upstreamOf = [&](const char *object) {
+        const Step step = f.requestArrived("/view/1", object);
+        const UpstreamId id = sent(step)->upstream;
+        f.engine.attemptEnded(f.nextRequestId - 1, good, f.now);
+        return id;
+    };
+    const UpstreamId leaver = upstreamOf("o1");
+    f.requestArrived("/view/1", "o1");
+    AttemptOutcome saysLeaving = good;
+    saysLeaving.upstreamLeaving = true;
+    f.engine.attemptEnded(f.nextRequestId - 1, saysLeaving, f.now);
+    CHECK(upstreamOf("o1") != leaver);
+    f.engine.setUpstreams(entries, {}, f.now);
+    CHECK(upstreamOf("o1") != leaver);
+    std::vector<UpstreamEntry> restarted = entries;
+    for (UpstreamEntry &entry : restarted)
+        entry.startedAt = 7;
+    f.engine.setUpstreams(restarted, {}, f.now);
+    CHECK(f.engine.upstreams().usable(leaver));
+}
+
 // Guards against keys that are not checked, and against 4xx responses to permitted requests.
 TEST(RequestEngine, KeysAndRoutesAreChecked)
 {
--- a/gateway/include/endivequay/gateway.h
+++ b/gateway/include/endivequay/gateway.h
@@ -27,6 +27,7 @@
     std::string occupancy; ///< "running,waiting,slots".
     std::string notRun; ///< Present if the upstream did not run the request.
     std::string upstreamId;
+    std::string leaving; ///< "1" in the responses of an upstream that is leaving.
 };
 
 /// Connects the request engine to sockets: reads requests, executes the engine's steps and writes
--- a/gateway/src/gateway.cpp
+++ b/gateway/src/gateway.cpp
@@ -292,6 +292,8 @@
         attempt.occupancy = parseOccupancy(*occupancy);
     attempt.hasResponse = true;
     const bool misdirected = response.status == 421;
+    const std::string *leaving = response.field(headers_.leaving);
+    attempt.upstreamLeaving = leaving != nullptr && *leaving == "1" && !misdirected;
     exchange.upstreamNotRun = misdirected || response.field(headers_.notRun) != nullptr;
     attempt.mayHaveRun = !exchange.upstreamNotRun;
     if (misdirected)
@@ -329,6 +331,9 @@
                     exchange.response && attempt.hasResponse ? exchange.response->status : 0 },
                 { "reason", reason }, { "may_have_run", attempt.mayHaveRun },
                 { "took_ms", toMillis(now - exchange.sentAt) } });
+    if (attempt.upstreamLeaving && parts_.engine.upstreams().usable(exchange.order.upstream))
+        parts_.log.write(EventId::UpstreamDraining, exchange.order.upstream.value(), now,
+            { { "upstream", exchange.order.upstream.value() }, { "source", "response" } });
     parts_.metrics.count("endivequay_attempts_total", "result", resultName(attempt.result));
     execute(id, parts_.engine.attemptEnded(id, attempt, now));
     if (parts_.engine.hasWaiting() && !advanceScheduled_) {
