--- a/gateway/include/endivequay/replica.h
+++ b/gateway/include/endivequay/replica.h
@@ -39,6 +39,10 @@
     /// Limit of retained tombstones, which updates() passes on and which reject late updates.
     static constexpr std::size_t maxTombstones = 4096;
 
+    /// After a restore, an instance with state keeps it for this long. The writers write again what
+    /// the backup lacks; until then, the backup may have withdrawn keys and upstreams that left.
+    static constexpr Interval rewriteTime = std::chrono::milliseconds(1500);
+
     /// Returns whether any key changed.
     bool apply(const ReplicaUpdate &update);
     /// Changes after \a since, or a snapshot if \a since is of another epoch or tombstones after it
--- a/gateway/include/endivequay/statefeed.h
+++ b/gateway/include/endivequay/statefeed.h
@@ -27,10 +27,6 @@
     /// because every store call has a cost.
     static constexpr Interval watchInterval = std::chrono::milliseconds(120);
 
-    /// After a restore, an instance with state keeps it for this long. The writers write again what
-    /// the backup lacks; until then, the backup may have withdrawn keys and upstreams that left.
-    static constexpr Interval rewriteTime = std::chrono::milliseconds(1500);
-
     StateFeed(Store &store, Replica &replica, DecisionLog &log, std::function<Instant()> now,
         std::function<void()> changed)
         : store_(store)
@@ -98,7 +94,7 @@
     Instant adoptionDeadline(Instant now) const
     {
         const Instant restoredAfter = std::max(lastAnswerAt_, lastFailedCallAt_);
-        return std::min(now + rewriteTime, restoredAfter + store_.watchTimeout());
+        return std::min(now + Replica::rewriteTime, restoredAfter + store_.watchTimeout());
     }
 
     void list()
--- a/gateway/src/entrypeers.cpp
+++ b/gateway/src/entrypeers.cpp
@@ -16,10 +16,6 @@
 constexpr Interval seedOnlyDuration = std::chrono::milliseconds(300);
 constexpr Interval seedOnlyDurationAtFirstStart = std::chrono::seconds(2);
 
-/// Delay before the state of an epoch is taken from a peer that may have just started, and so has
-/// taken a backup that lacks the last writes. Readers of the store wait as long.
-constexpr Interval peerAdoptionDelay = std::chrono::milliseconds(1500);
-
 /// Minimum delay between a heartbeat and an early one that announces a state change.
 constexpr Interval announceInterval = std::chrono::milliseconds(100);
 
@@ -96,9 +92,9 @@
 
 void EntryCore::peerStateSeen(const StorePosition &position, Instant now)
 {
-    // Instances of a small fleet read the store themselves and wait for its writers. In a large
-    // fleet the reader has waited before it announces its position.
-    replica_.epochSeen(position.epoch, relay_.isLarge() ? now : now + peerAdoptionDelay);
+    // In a large fleet the reader has waited for the writers before it announces its position. In a
+    // small one, a peer that has just started may have taken the backup at once.
+    replica_.epochSeen(position.epoch, relay_.isLarge() ? now : now + Replica::rewriteTime);
     if (position > replica_.asOf() && replica_.mayAdopt(position.epoch, now))
         sources_.markBehind(now);
 }
