--- a/core/include/endivequay/events.h
+++ b/core/include/endivequay/events.h
@@ -64,6 +64,7 @@
     RegistrationLost = 215,
     StateNotHandedOver = 216,
     StoreRestored = 217,
+    StoreRoleChanged = 218,
     PeerJoined = 300,
     PeerSuspected = 301,
     PeerRecovered = 302,
--- a/core/src/events.cpp
+++ b/core/src/events.cpp
@@ -35,6 +35,7 @@
     { EventId::RegistrationLost, "RegistrationLost" },
     { EventId::StateNotHandedOver, "StateNotHandedOver" },
     { EventId::StoreRestored, "StoreRestored" },
+    { EventId::StoreRoleChanged, "StoreRoleChanged" },
     { EventId::PeerJoined, "PeerJoined" },
     { EventId::PeerSuspected, "PeerSuspected" },
     { EventId::PeerRecovered, "PeerRecovered" },
--- a/gateway/include/endivequay/controlstore.h
+++ b/gateway/include/endivequay/controlstore.h
@@ -38,14 +38,15 @@
 /// Asynchronous client of the store that holds the control state.
 ///
 /// list() reads the whole state. watch() is a long poll: it completes on a change after the given
-/// position or on its timeout, and as compacted if the store is in a later epoch. renewLease()
-/// yields false if the lease has expired. epoch() is the latest epoch that the store has told.
-/// watchTimeout() is the time after which a lost watch is repeated; it leaves enough of the
-/// recovery time for the changes to reach all instances.
+/// position or after the given time at most, and as compacted if the store is in a later epoch.
+/// renewLease() yields false if the lease has expired. epoch() is the latest epoch that the store
+/// has told. watchTimeout() is the time after which a lost watch is repeated; it leaves enough of
+/// the recovery time for the changes to reach all instances.
 template <class T>
-concept ControlStore = requires(T store, StorePosition after, MemberRecord member, LeaseId lease,
-    Callback<ReplicaUpdate> listed, Callback<WatchResult> watched, Callback<LeaseId> granted,
-    Callback<bool> renewed, Callback<Done> done)
+concept ControlStore
+    = requires(T store, StorePosition after, Interval pollTime, MemberRecord member, LeaseId lease,
+        Callback<ReplicaUpdate> listed, Callback<WatchResult> watched, Callback<LeaseId> granted,
+        Callback<bool> renewed, Callback<Done> done)
 {
     {
         store.epoch()
@@ -54,7 +55,7 @@
         store.watchTimeout()
         } -> std::convertible_to<Interval>;
     store.list(listed);
-    store.watch(after, watched);
+    store.watch(after, pollTime, watched);
     store.grantLease(granted);
     store.registerMember(member, lease, done);
     store.renewLease(lease, renewed);
--- a/gateway/include/endivequay/entrynode.h
+++ b/gateway/include/endivequay/entrynode.h
@@ -6,8 +6,8 @@
 #include "endivequay/fleetrelay.h"
 #include "endivequay/gateway.h"
 #include "endivequay/loopmonitor.h"
-#include "endivequay/statefeed.h"
 #include "endivequay/statesources.h"
+#include "endivequay/storefollower.h"
 
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
@@ -64,15 +64,23 @@
 
     /// Applies a newly decoded control state to the peer table and the request engine.
     void applyState(const ControlState &state);
-    /// Whether this instance reads the store itself. In a large fleet one instance per region does,
-    /// and the others get changes from it. \a readsStore is the current decision.
-    bool shouldReadStore(bool readsStore) const;
+    /// Whether this instance reads the store itself, or may have to. In a large fleet one instance
+    /// per region does, and the others get changes from it.
+    ReaderElection::Role storeRole();
+    /// Long-poll time of the store's watches; none for the store's own limit.
+    std::optional<Interval> storePollTime() const;
+    /// Records that the store answered a call of this instance.
+    void storeAnswered() { election_.storeAnswered(now()); }
+    /// Records that this instance, as a reader, has confirmed the state. In a large fleet the
+    /// others of the region wait for that.
+    void stateConfirmed(Instant at);
     /// If a heartbeat is due, expires peers, passes peer reports to the engine and sends the
-    /// heartbeat. \a stateAge is the time since the store answered, if this instance reads it.
+    /// heartbeat. \a stateAge is the time since the store confirmed the state, if this instance
+    /// reads it.
     void sendHeartbeat(std::optional<Interval> stateAge);
-    /// Schedules an early heartbeat that announces the new state revision: to the whole region if
-    /// this instance reads the store (\a readsStore), to the failure domain if it is a relay.
-    void announceStateChange(bool readsStore);
+    /// Schedules an early heartbeat that announces the state's revision: to the whole region if it
+    /// is from the store (\a readsStore), to the failure domain if this instance is a relay.
+    void announceState(bool readsStore);
     /// Requests changes that the store has not delivered from a peer.
     void requestStateFromPeers(const std::function<void()> &changed);
     /// Addresses for a caller that looks up the directory.
@@ -117,6 +125,7 @@
     Replica replica_;
     PeerTable peers_;
     FleetRelay relay_;
+    ReaderElection election_;
     StateSources sources_;
     RequestEngine engine_;
     TrafficMetrics metrics_;
@@ -134,7 +143,6 @@
     std::uint64_t regularHeartbeatCount_ = 0;
     DemandReport reportedDemand_; ///< Demand in the latest heartbeat.
     Instant startedAt_;
-    Instant loadedAt_; ///< When the first state was applied.
     bool firstStateApplied_ = false; ///< The first state triggers an immediate heartbeat.
     bool announceToRegion_ = false; ///< The next heartbeat goes to the whole region.
     bool stopping_ = false;
@@ -150,8 +158,6 @@
     static constexpr std::chrono::milliseconds idleTickInterval { 50 };
     /// The same in a large fleet, where most instances have no open requests.
     static constexpr std::chrono::milliseconds idleTickIntervalLargeFleet { 100 };
-    /// Interval between two decisions on whether to read the store.
-    static constexpr Interval readerCheckInterval = std::chrono::milliseconds(200);
     /// A stopping instance accepts requests for this long: directory responses are cached for two
     /// seconds, and a request accepted later might not finish before the process is killed.
     static constexpr Interval drainDuration = std::chrono::milliseconds(2800);
@@ -185,18 +191,10 @@
         , core_(std::move(settings), loop)
         , edge_(core_.settings())
         , store_(loop, core_.settings(), core_.metrics(), [this] { return core_.now(); })
-        , feed_(
-              store_, core_.replica(), core_.log(), [this] { return core_.now(); },
-              [this] { stateChanged(); })
-        , registration_(
-              store_, core_.self(), core_.settings().leaseTime, [this] { return core_.now(); },
-              core_.log(),
-              [this](const Status &status) {
-                  if (status)
-                      feed_.storeAnswered(core_.now());
-                  else
-                      feed_.storeFailed(status.lastReason(), core_.now());
-              })
+        , follower_(
+              store_, core_.replica(), core_.log(), core_.self(), core_.settings().leaseTime,
+              [this] { return core_.now(); }, [this] { core_.storeAnswered(); },
+              [this] { stateChanged(true); })
         , timer_(loop)
         , signals_(loop, SIGTERM, SIGINT, SIGHUP)
     { }
@@ -252,10 +250,11 @@
         return response;
     }
 
-    void stateChanged()
+    /// \a fromStore is false if a peer delivered the change.
+    void stateChanged(bool fromStore)
     {
         core_.applyState(edge_.decode(core_.replica(), core_.now()));
-        core_.announceStateChange(readsStore_);
+        core_.announceState(fromStore || follower_.reads());
     }
 
     void onTick()
@@ -285,16 +284,11 @@
         core_.loopMonitor().timerExpired(tickDueAt_, now);
         core_.gateway().advance(now);
         store_.advance(now);
-        if (now >= nextReaderCheckAt_) {
-            readsStore_ = core_.shouldReadStore(readsStore_);
-            nextReaderCheckAt_
-                = now + (core_.replica().loaded() ? readerCheckInterval : Interval {});
-        }
-        if (readsStore_)
-            feed_.advance(now);
-        registration_.advance(now);
-        core_.sendHeartbeat(readsStore_ ? std::optional(now - feed_.lastAnswerAt()) : std::nullopt);
-        core_.requestStateFromPeers([this] { stateChanged(); });
+        follower_.advance(now, core_.storeRole(), core_.storePollTime());
+        if (const auto confirmedAt = follower_.takeConfirmation())
+            core_.stateConfirmed(*confirmedAt);
+        core_.sendHeartbeat(follower_.stateAge(now));
+        core_.requestStateFromPeers([this] { stateChanged(false); });
         core_.stateClient().advance(now);
         core_.log().flush(now);
         return !core_.stopping() || !stopWhenDrained(now);
@@ -324,7 +318,7 @@
         forcedStopAt_ = now + core_.settings().shutdownGracePeriod - stopMargin;
         drainEndsAt_ = now + drainDuration;
         core_.engine().stopBy(forcedStopAt_);
-        registration_.stop();
+        follower_.stop();
         core_.gateway().startDraining();
         core_.sendHeartbeat(std::nullopt);
     }
@@ -349,14 +343,11 @@
     EntryCore core_;
     Edge edge_;
     typename Edge::Store store_;
-    StateFeed<typename Edge::Store> feed_;
-    Registration<typename Edge::Store> registration_;
+    StoreFollower<typename Edge::Store> follower_;
     std::vector<std::unique_ptr<EdgeServer>> servers_;
     asio::steady_timer timer_;
     asio::signal_set signals_;
     std::function<void()> reload_;
-    bool readsStore_ = false;
-    Instant nextReaderCheckAt_;
     Instant tickDueAt_; ///< Epoch before the first tick.
     Instant forcedStopAt_;
     Instant drainEndsAt_;
--- a/gateway/include/endivequay/entrysettings.h
+++ b/gateway/include/endivequay/entrysettings.h
@@ -38,6 +38,8 @@
     Interval leaseTime = std::chrono::seconds(10); ///< Lifetime of the registration lease.
     /// Once the store can be reached again, changes in it are in use within this time.
     Interval storeRecoveryTime = std::chrono::seconds(3);
+    /// Changes in the store are in use on all instances within this time.
+    Interval changeTime = std::chrono::milliseconds(2500);
     Interval shutdownGracePeriod
         = std::chrono::seconds(6); ///< From the stop signal until the process is killed.
     double logLinesPerSecond = 150; ///< Limit per event type; 0 disables the log.
--- a/gateway/include/endivequay/fleetrelay.h
+++ b/gateway/include/endivequay/fleetrelay.h
@@ -29,13 +29,6 @@
     /// Two, so that one remains when the other crashes or is partitioned.
     static constexpr std::size_t relaysPerDomain = 2;
 
-    /// An instance reads the store if no reader has had an answer from it for this long. Store
-    /// calls time out after 1.5 s.
-    static constexpr Interval maxReaderSilence = std::chrono::milliseconds(3500);
-    /// Additional wait for each further member that ranks higher. While the store is down or slow,
-    /// all members of a region would otherwise call it at the same time.
-    static constexpr Interval takeoverInterval = std::chrono::milliseconds(250);
-
     FleetRelay(MemberRecord self, const PeerTable &peers)
         : self_(std::move(self))
         , peers_(peers)
@@ -43,10 +36,6 @@
 
     bool isLarge() const { return peers_.peers().size() >= maxDirectFleetSize; }
     bool isRelay(Instant now) const;
-    /// Whether this instance reads the store for its region: the highest-ranked one does, and
-    /// others take over one after the other while no reader gets answers. \a readsStore is the
-    /// current decision; \a since is when this instance got its first state.
-    bool mayReadStore(bool readsStore, Instant since, Instant now) const;
     /// Heartbeat addresses of the other relays of the own domain.
     std::vector<Address> domainRelays(Instant now) const;
     /// Heartbeat addresses of the other members of the own domain.
--- a/gateway/include/endivequay/statefeed.h
+++ b/gateway/include/endivequay/statefeed.h
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <optional>
 
 namespace endivequay {
 
@@ -26,6 +27,8 @@
     /// Minimum interval between two watches. Batches changes that arrive in quick succession,
     /// because every store call has a cost.
     static constexpr Interval watchInterval = std::chrono::milliseconds(120);
+    /// Long-poll time of a watch that only confirms the state.
+    static constexpr Interval confirmingPollTime = std::chrono::milliseconds(1);
 
     StateFeed(Store &store, Replica &replica, DecisionLog &log, std::function<Instant()> now,
         std::function<void()> changed)
@@ -36,6 +39,19 @@
         , changed_(std::move(changed))
     { }
 
+    /// Limits the long poll of watches, so that their responses confirm the state more often than
+    /// the store's own limit does.
+    void setPollTime(std::optional<Interval> pollTime) { pollTime_ = pollTime; }
+
+    /// Begins to follow the store after other calls than those of advance() have delivered the
+    /// state. A watch from before may have been lost since.
+    void resume(Instant now)
+    {
+        abandonWatch(now);
+        confirmed_ = false;
+        retryAt_ = std::min(retryAt_, now);
+    }
+
     void advance(Instant now)
     {
         checkEpoch(now);
@@ -71,7 +87,9 @@
         healthy_ = false;
     }
 
-    Instant lastAnswerAt() const { return lastAnswerAt_; }
+    /// When a listing or watch last succeeded. Other calls do not confirm the state: the store may
+    /// have lost the pending watch.
+    Instant confirmedAt() const { return confirmedAt_; }
     bool healthy() const { return healthy_; }
 
 private:
@@ -127,9 +145,11 @@
     {
         const Instant askedAt = now_();
         watchPending_ = true;
+        // Instances that wait for a confirmation need not wait for the poll as well.
+        const auto pollTime = pollTime_ && !confirmed_ ? confirmingPollTime : pollTime_;
         // The replica may have later changes from a peer than from the last watch.
-        store_.watch(
-            replica_.asOf(), [this, askedAt, number = ++watchNumber_](Result<WatchResult> result) {
+        store_.watch(replica_.asOf(), pollTime.value_or(store_.watchTimeout()),
+            [this, askedAt, number = ++watchNumber_](Result<WatchResult> result) {
                 if (number != watchNumber_)
                     return;
                 watchPending_ = false;
@@ -151,6 +171,8 @@
     {
         const Instant now = now_();
         storeAnswered(now);
+        confirmed_ = true;
+        confirmedAt_ = now;
         backoff_ = initialBackoff;
         retryAt_ = now + watchInterval;
         if (replica_.mayAdopt(update.asOf.epoch, now) && replica_.apply(update))
@@ -160,6 +182,7 @@
     void handleFailure(const Error &error, Instant askedAt)
     {
         storeFailed(error, now_());
+        confirmed_ = false;
         lastFailedCallAt_ = askedAt;
         retryAt_ = askedAt + backoff_;
         backoff_ = std::min(backoff_ * 2, maxBackoff);
@@ -176,6 +199,9 @@
     bool historyCompacted_ = false;
     bool healthy_ = true;
     Instant retryAt_;
+    std::optional<Interval> pollTime_;
+    bool confirmed_ = false; ///< The latest listing or watch succeeded.
+    Instant confirmedAt_;
     Instant lastAnswerAt_;
     Instant lastFailedCallAt_; ///< When the latest call that failed was sent.
     Interval backoff_ = initialBackoff;
@@ -190,6 +216,9 @@
     /// After a restore the instances register again within this time, so that a large fleet does
     /// not exceed the write limit of the store.
     static constexpr Interval reregistrationSpread = std::chrono::seconds(1);
+    /// Interval between a failed probe and the next one, and its growth with each further failure.
+    static constexpr Interval initialProbeInterval = std::chrono::milliseconds(200);
+    static constexpr int probeIntervalGrowth = 4;
 
     /// Renews after a third of \a leaseTime, so that one lost renewal does not end the lease.
     Registration(Store &store, MemberRecord member, Interval leaseTime,
@@ -210,6 +239,7 @@
         if (callPending_ || stopped_ || now < nextAt_)
             return;
         callPending_ = true;
+        calledAt_ = now;
         nextAt_ = now + renewInterval_;
         if (lease_ == 0)
             grant();
@@ -219,6 +249,14 @@
             renew();
     }
 
+    /// Makes the next call at once, to find out whether the store answers. After a failure, the
+    /// interval to the call before grows up to the time within which a watch is repeated.
+    void probe(Instant now)
+    {
+        if (now >= probeAt_)
+            nextAt_ = std::min(nextAt_, now);
+    }
+
     void stop()
     {
         stopped_ = true;
@@ -234,6 +272,10 @@
     bool succeeded(const Result<T> &result)
     {
         callPending_ = false;
+        probeAt_ = result ? now_() : calledAt_ + probeInterval_;
+        probeInterval_ = result
+            ? initialProbeInterval
+            : std::min(probeInterval_ * probeIntervalGrowth, store_.watchTimeout());
         reportStatus_(result ? Status(Done {}) : Status(result.lastReason()));
         return result.hasValue();
     }
@@ -297,6 +339,9 @@
     bool callPending_ = false;
     bool stopped_ = false;
     Instant nextAt_;
+    Instant calledAt_;
+    Instant probeAt_; ///< Earliest time of a probe.
+    Interval probeInterval_ = initialProbeInterval;
 };
 
 } // namespace endivequay
--- a/gateway/src/entrycore.cpp
+++ b/gateway/src/entrycore.cpp
@@ -61,6 +61,7 @@
     , log_(settings_.name.value(), STDOUT_FILENO, { settings_.logLinesPerSecond })
     , peers_(settings_.name)
     , relay_(self_, peers_)
+    , election_(self_, peers_, settings_.changeTime)
     , sources_(self_, settings_.seeds, settings_.firstStart, peers_, relay_)
     , engine_({ settings_.name, settings_.domain, settings_.region, domainsPerRegion(settings_),
                   { settings_.cores, settings_.linkMbps } },
@@ -146,7 +147,7 @@
     // Announce the instance at once, so that peers include it in their division of the limits.
     if (std::exchange(firstStateApplied_, true))
         return;
-    loadedAt_ = at;
+    election_.stateConfirmed(at);
     nextHeartbeatAt_ = {};
     nextRegularHeartbeatAt_ = {};
 }
--- a/gateway/src/entrypeers.cpp
+++ b/gateway/src/entrypeers.cpp
@@ -32,6 +32,19 @@
 /// A relay sends a digest with every second heartbeat, with member records every eighth.
 constexpr std::uint64_t digestPeriod = 2;
 
+std::string_view roleName(ReaderElection::Role role)
+{
+    switch (role) {
+    case ReaderElection::Role::Follower:
+        return "follower";
+    case ReaderElection::Role::Candidate:
+        return "candidate";
+    case ReaderElection::Role::Reader:
+        return "reader";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 void EntryCore::logPeerChanges(Instant now)
@@ -131,7 +144,7 @@
     sendTo(relay_.domainMembers(), encodeDigest(forwardedDigest));
 }
 
-bool EntryCore::shouldReadStore(bool readsStore) const
+ReaderElection::Role EntryCore::storeRole()
 {
     const Instant at = now();
     if (!replica_.loaded()) {
@@ -139,14 +152,35 @@
             = std::ranges::find(settings_.seeds, settings_.control) != settings_.seeds.end();
         const Interval seedOnly
             = settings_.firstStart ? seedOnlyDurationAtFirstStart : seedOnlyDuration;
-        return isSeed || at - startedAt_ > seedOnly;
+        return isSeed || at - startedAt_ > seedOnly ? ReaderElection::Role::Reader
+                                                    : ReaderElection::Role::Follower;
     }
-    if (!relay_.isLarge())
-        return true; // Store calls cost less than the delay and the failure risk of a relay.
-    return relay_.mayReadStore(readsStore, loadedAt_, at);
+    // In a small fleet, store calls cost less than the delay and the failure risk of a relay.
+    if (!relay_.isLarge() || !election_.mayShareReaders())
+        return ReaderElection::Role::Reader;
+    const ReaderElection::Role before = election_.role();
+    const ReaderElection::Role role = election_.update(at);
+    if (role != before)
+        log_.write(EventId::StoreRoleChanged, roleName(role), at,
+            { { "role", roleName(role) }, { "state", replica_.asOf().revision.value() },
+                { "silent_ms", toSeconds(at - election_.confirmedAt()) * 1000 } });
+    return role;
+}
+
+std::optional<Interval> EntryCore::storePollTime() const
+{
+    return relay_.isLarge() && election_.mayShareReaders() ? std::optional(election_.pollTime())
+                                                           : std::nullopt;
 }
 
-void EntryCore::announceStateChange(bool readsStore)
+void EntryCore::stateConfirmed(Instant at)
+{
+    election_.stateConfirmed(at);
+    if (relay_.isLarge())
+        announceState(true);
+}
+
+void EntryCore::announceState(bool readsStore)
 {
     const Instant at = now();
     if (!readsStore && !(relay_.isLarge() && relay_.isRelay(at)))
@@ -186,21 +220,23 @@
 
 void EntryCore::sendThroughRelays(PeerHeartbeat heartbeat, bool regular)
 {
-    // Changes are announced to all at once; otherwise the relays collect the heartbeats.
-    const bool toAllOfDomain
-        = !regular || announceToRegion_ || stopping_ || regularHeartbeatCount_ <= initialHeartbeats;
-    sendTo(toAllOfDomain ? relay_.domainMembers() : relay_.domainRelays(now()),
-        encodeHeartbeat(heartbeat));
+    const bool toAllOfDomain = stopping_ || regularHeartbeatCount_ <= initialHeartbeats;
+    if (regular || toAllOfDomain)
+        sendTo(toAllOfDomain ? relay_.domainMembers() : relay_.domainRelays(now()),
+            encodeHeartbeat(heartbeat));
     if (regular && regularHeartbeatCount_ % digestPeriod == 0 && relay_.isRelay(now()))
         sendDigest(heartbeat);
-    if (!announceToRegion_ && !stopping_)
+    if (regular && !announceToRegion_ && !stopping_)
         return;
-    // Other domains get the demand from the digests.
+    // The state is announced without the demand, which the relays collect.
     heartbeat.demand.reset();
     const std::string bytes = encodeHeartbeat(heartbeat);
-    for (const auto &[id, peer] : peers_.peers())
-        if (peer.member.domain != self_.domain && (stopping_ || peer.member.region == self_.region))
+    for (const auto &[id, peer] : peers_.peers()) {
+        const bool inReach = stopping_ || peer.member.domain == self_.domain
+            || (announceToRegion_ && peer.member.region == self_.region);
+        if (inReach && !(toAllOfDomain && peer.member.domain == self_.domain))
             peerSocket_->send(bytes, peer.member.heartbeats);
+    }
 }
 
 void EntryCore::sendHeartbeat(std::optional<Interval> stateAge)
--- a/gateway/src/fleetrelay.cpp
+++ b/gateway/src/fleetrelay.cpp
@@ -33,23 +33,6 @@
     return own - members.begin() < static_cast<std::ptrdiff_t>(relaysPerDomain);
 }
 
-bool FleetRelay::mayReadStore(bool readsStore, Instant since, Instant now) const
-{
-    const auto own = relayRank(self_);
-    int higherRanked = 0;
-    Instant lastAnswerAt = since;
-    for (const auto &[id, peer] : peers_.peers()) {
-        if (peer.member.region != self_.region || peer.leaving || PeerTable::isSuspected(peer, now))
-            continue;
-        const bool isHigher = relayRank(peer.member) > own;
-        higherRanked += isHigher ? 1 : 0;
-        if (isHigher || !readsStore)
-            lastAnswerAt = std::max(lastAnswerAt, peer.stateConfirmedAt);
-    }
-    return higherRanked == 0
-        || now - lastAnswerAt >= maxReaderSilence + takeoverInterval * (higherRanked - 1);
-}
-
 std::vector<Address> FleetRelay::domainRelays(Instant now) const
 {
     const auto members = aliveByDomain(now).at(self_.domain);
--- a/gateway/test/peers_test.cpp
+++ b/gateway/test/peers_test.cpp
@@ -243,37 +243,6 @@
     }
 }
 
-// Guards against a region without a reader, and against all instances of a region calling a store
-// that is down or has just come back.
-TEST(FleetRelay, ReadersOfTheStoreTakeOverOneAfterTheOther)
-{
-    const auto readersAfter = [&](Interval silence) {
-        const Instant since = now;
-        int readers = 0;
-        for (std::size_t i = 0; i < members.size(); ++i) {
-            if (members[i].region.value() != "w")
-                continue;
-            PeerTable table(members[i].id);
-            table.setRegistered(members, since);
-            for (const MemberRecord &other : members) {
-                PeerHeartbeat heartbeat = heartbeatFrom(other);
-                heartbeat.stateAge = 24h;
-                table.recordReport(heartbeat, since + silence);
-            }
-            const FleetRelay relay(members[i], table);
-            readers += relay.mayReadStore(false, since, since + silence);
-        }
-        return readers;
-    };
-    LONGS_EQUAL(1, readersAfter(100ms));
-    LONGS_EQUAL(2, readersAfter(FleetRelay::maxReaderSilence));
-    LONGS_EQUAL(4, readersAfter(FleetRelay::maxReaderSilence + 2 * FleetRelay::takeoverInterval));
-    int readers = 0;
-    for (std::size_t i = 0; i < members.size(); ++i)
-        readers += FleetRelay(members[i], tableOf(i)).mayReadStore(false, now - 1h, now);
-    LONGS_EQUAL(2, readers); // One in each region.
-}
-
 // Guards against a domain that is cut off because its relays crashed.
 TEST(FleetRelay, OtherMembersFollowDeadRelays)
 {
--- a/gateway/test/statefeed_test.cpp
+++ b/gateway/test/statefeed_test.cpp
@@ -11,6 +11,7 @@
 /// Fake store that records calls; the test completes them.
 struct ScriptedStore
 {
+    std::vector<Interval> pollTimes;
     std::vector<Callback<ReplicaUpdate>> lists;
     std::vector<std::pair<StorePosition, Callback<WatchResult>>> watches;
     std::vector<Callback<LeaseId>> grants;
@@ -23,8 +24,9 @@
     StoreEpoch epoch() const { return currentEpoch; }
     Interval watchTimeout() const { return 2200ms; }
     void list(Callback<ReplicaUpdate> done) { lists.push_back(std::move(done)); }
-    void watch(StorePosition after, Callback<WatchResult> done)
+    void watch(StorePosition after, Interval pollTime, Callback<WatchResult> done)
     {
+        pollTimes.push_back(pollTime);
         watches.emplace_back(after, std::move(done));
     }
     void grantLease(Callback<LeaseId> done) { grants.push_back(std::move(done)); }
@@ -240,3 +242,77 @@
     store.watches[1].second(WatchResult { update(9, false), false });
     LONGS_EQUAL(2, changes);
 }
+
+// Guards against instances that wait for a whole long poll before they know that a new reader is
+// up to date.
+TEST(StateFeed, ReaderThatBeginsConfirmsTheStateAtOnce)
+{
+    constexpr Interval pollTime = 450ms;
+    const Interval shortest = StateFeed<ScriptedStore>::confirmingPollTime;
+    feed.setPollTime(pollTime);
+    loadState();
+    CHECK(store.pollTimes.back() == pollTime);
+    feed.resume(now); // The watch from before may be lost.
+    advanceClock(0s);
+    CHECK(store.pollTimes.back() == shortest);
+    store.watches.back().second(WatchResult { update(5, false), false });
+    advanceClock(1s);
+    CHECK(store.pollTimes.back() == pollTime);
+    store.watches.back().second(storeError);
+    advanceClock(1s);
+    CHECK(store.pollTimes.back() == shortest);
+    feed.setPollTime(std::nullopt);
+    store.watches.back().second(storeError);
+    advanceClock(1s);
+    CHECK(store.pollTimes.back() == store.watchTimeout());
+}
+
+// Guards against a reader whose renewals succeed while its watch is lost, and that others take for
+// up to date.
+TEST(StateFeed, OtherCallsDoNotConfirmTheState)
+{
+    loadState();
+    const Instant confirmedAt = feed.confirmedAt();
+    advanceClock(1s);
+    feed.storeAnswered(now);
+    CHECK(feed.confirmedAt() == confirmedAt);
+    store.watches.back().second(WatchResult { update(5, false), false });
+    CHECK(feed.confirmedAt() == now);
+}
+
+// Guards against an instance that does not find out in time that the store answers it, and against
+// one that calls a store that is away again and again.
+TEST(Registration, ProbesBackOff)
+{
+    constexpr Interval leaseTime = 30s; // No regular renewal falls between the probes.
+    Registration<ScriptedStore> rare { store, {}, leaseTime, [this] { return now; }, log,
+        [](const Status &) {} };
+    rare.advance(now);
+    store.grants.back()(LeaseId { 7 });
+    rare.advance(now);
+    store.registrations.back().second(Done {});
+    rare.probe(now);
+    rare.advance(now);
+    LONGS_EQUAL(1, store.renewals.size());
+    store.renewals.back().second(storeError);
+    Interval wait = Registration<ScriptedStore>::initialProbeInterval;
+    for (std::size_t calls = 1; calls < 6; ++calls) {
+        rare.probe(now + wait - 1ms);
+        rare.advance(now + wait - 1ms);
+        LONGS_EQUAL(calls, store.renewals.size());
+        now += wait;
+        rare.probe(now);
+        rare.advance(now);
+        LONGS_EQUAL(calls + 1, store.renewals.size());
+        store.renewals.back().second(storeError);
+        wait = std::min(
+            wait * Registration<ScriptedStore>::probeIntervalGrowth, store.watchTimeout());
+    }
+    now += store.watchTimeout();
+    rare.probe(now);
+    rare.advance(now);
+    store.renewals.back().second(true);
+    rare.probe(now);
+    rare.advance(now);
+    LONGS_EQUAL(8, store.renewals.size()); // At once after a success.
+}
