--- a/gateway/include/endivequay/peers.h
+++ b/gateway/include/endivequay/peers.h
@@ -59,8 +59,13 @@
     static bool isSuspected(const Peer &peer, Instant now);
 
 private:
+    /// Limit of remembered incarnations; more than there are instances.
+    static constexpr std::size_t maxRemoved = 4096;
+
     InstanceId self_;
     std::map<InstanceId, Peer> peers_;
+    /// Incarnations that were removed. A restored store may list them again.
+    std::map<InstanceId, std::uint64_t> removed_;
 };
 
 /// Sends and receives messages between instances over UDP. Not thread safe.
--- a/gateway/src/peers.cpp
+++ b/gateway/src/peers.cpp
@@ -21,7 +21,9 @@
         const bool known = peers_.contains(member.id);
         Peer &peer = peers_[member.id];
         if (!known || peer.member.incarnation != member.incarnation) {
-            peer.listedAt = now;
+            const auto removed = removed_.find(member.id);
+            const bool returns = removed != removed_.end() && removed->second == member.incarnation;
+            peer.listedAt = returns ? Instant {} : now; // Suspected until its next message.
             peer.leaving = false;
         }
         peer.member = member;
@@ -80,9 +82,14 @@
 
 void PeerTable::removeExpired(Instant now)
 {
+    if (removed_.size() >= maxRemoved)
+        removed_.clear();
     std::erase_if(peers_, [&](const auto &entry) {
-        return !entry.second.registered
-            && now - entry.second.lastHeartbeatAt > unregisteredPeerTimeout;
+        const Peer &peer = entry.second;
+        if (peer.registered || now - peer.lastHeartbeatAt <= unregisteredPeerTimeout)
+            return false;
+        removed_[entry.first] = peer.member.incarnation;
+        return true;
     });
 }
 
--- a/gateway/test/peers_test.cpp
+++ b/gateway/test/peers_test.cpp
@@ -49,6 +49,26 @@
     LONGS_EQUAL(1, countAddress("w", "w-a", "p:1"));
 }
 
+// Guards against directory responses with an instance that ended long ago and that a restored store
+// lists again.
+TEST(Peers, RemovedInstanceThatIsListedAgainIsNotNamed)
+{
+    const std::vector<MemberRecord> members { member("p", "w-a", "w") };
+    table.setRegistered(members, now);
+    table.recordReport(heartbeatFrom(members.front()), now);
+    now += PeerTable::unregisteredPeerTimeout + 1s;
+    table.setRegistered({}, now);
+    table.removeExpired(now);
+    CHECK(table.peers().empty());
+    table.setRegistered(members, now);
+    LONGS_EQUAL(0, countAddress("w", "w-a", "p:1"));
+    table.recordReport(heartbeatFrom(members.front()), now); // It was only cut off.
+    LONGS_EQUAL(1, countAddress("w", "w-a", "p:1"));
+    table.setRegistered({ member("p", "w-a", "w", 2) }, now + 1h); // It has started again.
+    now += 1h;
+    LONGS_EQUAL(1, countAddress("w", "w-a", "p:1"));
+}
+
 // Guards against directory responses with an instance that is stopping.
 TEST(Peers, LeavingInstancesAreNotNamed)
 {
