--- a/engine/include/endivequay/upstreamset.h
+++ b/engine/include/endivequay/upstreamset.h
@@ -138,6 +138,9 @@
     int inFlight(const UpstreamId &id) const;
 
 private:
+    /// Number of remembered runs from which those of upstreams that are gone are dropped.
+    static constexpr std::size_t maxLeftRuns = 4096;
+
     struct Service;
     struct State
     {
@@ -223,6 +226,9 @@
     std::map<UpstreamId, std::unique_ptr<State>> states_;
     std::map<ServiceId, Service> services_;
     std::map<ServiceId, ServiceSettings> settings_;
+    /// Start of the run in which an upstream said that it leaves. Outlasts its entry, which may
+    /// lapse and return while the upstream serves its last requests.
+    std::map<UpstreamId, std::int64_t> leftRuns_;
     std::set<FailureDomainId> evacuated_;
     std::set<ServiceId> pacedServices_; ///< Services with an upstream that reports its pace.
     bool initialized_ = false;
--- a/engine/src/upstreamset.cpp
+++ b/engine/src/upstreamset.cpp
@@ -179,6 +179,8 @@
             state = std::make_unique<State>();
             state->inFlight = inFlight;
             state->hash = hash64(entry.id.value());
+            const auto left = leftRuns_.find(entry.id);
+            state->saidLeaving = left != leftRuns_.end() && left->second == entry.startedAt;
         }
         const bool returned
             = evacuated_.contains(entry.domain) && !evacuated.contains(entry.domain);
@@ -337,8 +339,13 @@
 
 void UpstreamSet::leavingReported(const UpstreamId &id)
 {
-    if (State *state = find(id))
-        state->saidLeaving = true;
+    State *state = find(id);
+    if (state == nullptr)
+        return;
+    state->saidLeaving = true;
+    if (leftRuns_.size() >= maxLeftRuns)
+        std::erase_if(leftRuns_, [&](const auto &run) { return find(run.first) == nullptr; });
+    leftRuns_[id] = state->entry.startedAt;
 }
 
 void UpstreamSet::attemptFinished(
--- a/engine/test/departures_test.cpp
+++ b/engine/test/departures_test.cpp
@@ -74,3 +74,38 @@
     f.engine.setUpstreams(restarted, {}, f.now);
     CHECK(f.engine.upstreams().usable(leaver));
 }
+
+// Guards against a queued request that goes to an upstream that has said meanwhile that it leaves.
+TEST(Departures, WaitingRequestDoesNotGoToAnUpstreamThatSaysItLeaves)
+{
+    f.start(document(), { upstream("u1", "west", 1) });
+    CHECK(sent(f.requestArrived("/order/1")) != nullptr);
+    CHECK(std::holds_alternative<KeepWaiting>(f.requestArrived("/order/2")));
+    AttemptOutcome saysLeaving = good;
+    saysLeaving.upstreamLeaving = true;
+    f.engine.attemptEnded(1, saysLeaving, f.now);
+    for (const auto &[requestId, step] : f.engine.advance(f.now))
+        CHECK(sent(step) == nullptr);
+}
+
+// Guards against an upstream that is used again after it has said that it leaves, because its entry
+// lapsed and was listed once more.
+TEST(Departures, EntryThatReturnsDoesNotUndoALeaving)
+{
+    const std::vector<UpstreamEntry> entries { upstream("u1"), upstream("u2") };
+    f.start(document(), entries);
+    const UpstreamId leaver = sent(f.requestArrived("/view/1"))->upstream;
+    AttemptOutcome saysLeaving = good;
+    saysLeaving.upstreamLeaving = true;
+    f.engine.attemptEnded(1, saysLeaving, f.now);
+    std::vector<UpstreamEntry> others = entries;
+    std::erase_if(others, [&](const UpstreamEntry &entry) { return entry.id == leaver; });
+    f.engine.setUpstreams(others, {}, f.now);
+    f.engine.setUpstreams(entries, {}, f.now);
+    CHECK_FALSE(f.engine.upstreams().usable(leaver));
+    std::vector<UpstreamEntry> restarted = entries;
+    for (UpstreamEntry &entry : restarted)
+        entry.startedAt = 7;
+    f.engine.setUpstreams(restarted, {}, f.now);
+    CHECK(f.engine.upstreams().usable(leaver));
+}
