--- a/gateway/test/gateway_test.cpp
+++ b/gateway/test/gateway_test.cpp
@@ -42,6 +42,7 @@
         EdgeHeaders headers;
         headers.requestId = "Id";
         headers.notRun = "Not-Run";
+        headers.leaving = "Leaving";
         headers.stamp = "Stamp";
         headers.deadlineMs = "Deadline";
         headers.expectUpstream = "Expect-Upstream";
@@ -137,3 +138,26 @@
             CHECK_TEXT(second.received().starts_with("HTTP/1.1 502"), second.received().c_str());
         }
 }
+
+// Guards against an upstream that says it leaves only in refusals or failures and is not heeded. A
+// misdirected request is answered by another upstream than the one that is meant.
+TEST(Gateway, LeavingIsHeededInEveryKindOfResponse)
+{
+    const std::map<std::string, bool> responses { { "200 OK\r\nStamp: s\r\nLeaving: 1", true },
+        { "503 Busy\r\nNot-Run: 1\r\nLeaving: 1", true }, { "500 Failed\r\nLeaving: 1", true },
+        { "404 Unknown\r\nLeaving: 1", true }, { "200 OK\r\nStamp: s\r\nLeaving: 0", false },
+        { "200 OK\r\nStamp: s", false }, { "421 Misdirected\r\nLeaving: 1", false } };
+    int number = 0;
+    for (const auto &[response, leaves] : responses) {
+        const std::string id = "u" + std::to_string(++number);
+        useUpstream(id);
+        CHECK(engine.upstreams().usable(UpstreamId(id)));
+        RawPeer caller(loop);
+        RawPeer upstream(loop);
+        sendFirstOrder(caller, upstream, "a");
+        upstream.send("HTTP/1.1 " + response + "\r\nId: a\r\nContent-Length: 0\r\n\r\n");
+        waitUntil([&] { return !caller.received().empty(); });
+        CHECK_TEXT(engine.upstreams().usable(UpstreamId(id)) != leaves, response.c_str());
+        upstream.close();
+    }
+}
