--- a/gateway/include/endivequay/entrynode.h
+++ b/gateway/include/endivequay/entrynode.h
@@ -62,6 +62,8 @@
     ByteBudget &budget() { return budget_; }
     EdgeClient &stateClient() { return stateClient_; }
 
+    /// Limits of the servers beside the one for callers' requests.
+    ServerLimits otherServerLimits() const;
     /// Applies a newly decoded control state to the peer table and the request engine.
     void applyState(const ControlState &state);
     /// Whether this instance reads the store itself, or may have to. In a large fleet one instance
@@ -158,6 +160,8 @@
     static constexpr std::chrono::milliseconds idleTickInterval { 50 };
     /// The same in a large fleet, where most instances have no open requests.
     static constexpr std::chrono::milliseconds idleTickIntervalLargeFleet { 100 };
+    /// Interval between two searches for idle connections of lookups and the like.
+    static constexpr Interval sweepInterval = std::chrono::seconds(1);
     /// A stopping instance accepts requests for this long: directory responses are cached for two
     /// seconds, and a request accepted later might not finish before the process is killed.
     static constexpr Interval drainDuration = std::chrono::milliseconds(2800);
@@ -210,7 +214,7 @@
                  settings.directory, settings.ready, settings.control, settings.metrics }) {
             if (address.value().empty())
                 continue;
-            auto server = EdgeServer::listen(loop_, address, {},
+            auto server = EdgeServer::listen(loop_, address, core_.otherServerLimits(),
                 { [this, index = servers_.size()](ExchangeId id, HttpMessage &&request) {
                      servers_[index]->respond(id, handleRequest(request));
                  },
@@ -283,6 +287,10 @@
         const Instant now = core_.now();
         core_.loopMonitor().timerExpired(tickDueAt_, now);
         core_.gateway().advance(now);
+        if (now >= nextSweepAt_) {
+            nextSweepAt_ = now + sweepInterval;
+            std::ranges::for_each(servers_, [&](const auto &server) { server->advance(now); });
+        }
         store_.advance(now);
         follower_.advance(now, core_.storeRole(), core_.storePollTime());
         if (const auto confirmedAt = follower_.takeConfirmation())
@@ -348,6 +356,7 @@
     asio::steady_timer timer_;
     asio::signal_set signals_;
     std::function<void()> reload_;
+    Instant nextSweepAt_;
     Instant tickDueAt_; ///< Epoch before the first tick.
     Instant forcedStopAt_;
     Instant drainEndsAt_;
--- a/gateway/src/entrycore.cpp
+++ b/gateway/src/entrycore.cpp
@@ -23,13 +23,16 @@
 /// Part of the machine's memory for unfinished responses of upstreams.
 constexpr std::size_t responseMemoryPart = 8;
 
-/// Callers may use half of the descriptors that are not reserved for files; the rest is for
-/// upstreams.
-constexpr std::size_t reservedDescriptors = 200;
-
-std::size_t connectionLimit(std::size_t descriptors)
+constexpr std::size_t reservedDescriptors = 200; ///< For files.
+/// Callers' requests may use half of the other descriptors, and each of the servers for lookups,
+/// readiness, state and metrics a sixteenth; the rest is for upstreams and the store.
+constexpr std::size_t requestDescriptorsPart = 2;
+constexpr std::size_t otherDescriptorsPart = 16;
+
+/// Limit of the connections of a server that may use one of \a parts parts; 0: none.
+std::size_t connectionLimit(std::size_t descriptors, std::size_t parts)
 {
-    return descriptors > 2 * reservedDescriptors ? (descriptors - reservedDescriptors) / 2 : 0;
+    return descriptors > 2 * reservedDescriptors ? (descriptors - reservedDescriptors) / parts : 0;
 }
 
 /// Value of a query parameter that is a whole number; 0 if it is missing, none if it is malformed.
@@ -83,7 +86,7 @@
             { "limit_slack", settings_.quota.slack }, { "cores", settings_.cores } });
     auto gateway = Gateway::listen(
         { loop_, engine_, log_, metrics_, [this] { return now(); }, [this] { sendTokenRequests(); },
-            &budget_, connectionLimit(settings_.descriptors),
+            &budget_, connectionLimit(settings_.descriptors, requestDescriptorsPart),
             settings_.memoryBytes / responseMemoryPart },
         headers, settings_.callers);
     if (!gateway)
@@ -102,6 +105,13 @@
     return Done {};
 }
 
+ServerLimits EntryCore::otherServerLimits() const
+{
+    ServerLimits limits;
+    limits.maxConnections = connectionLimit(settings_.descriptors, otherDescriptorsPart);
+    return limits;
+}
+
 void EntryCore::logStateChanges(const ControlState &state, Instant now)
 {
     const auto draining = static_cast<std::size_t>(
