--- a/gateway/test/reader_exploration_test.cpp
+++ b/gateway/test/reader_exploration_test.cpp
@@ -330,17 +330,13 @@
             constexpr Interval observed = 20s;
             region.runFor(observed);
             const double calls = region.calls() * regions / toSeconds(observed);
-            const double announcedBytes = static_cast<double>(region.announcements * regions
-                                              * (size - 1) * region.heartbeatBytes())
-                / toSeconds(observed);
-            UT_PRINT(
-                fmt::format("{} instances, {}: {:.1f} calls/s, {:.0f} bytes/s of confirmations",
-                    fleet.instances,
-                    !mode                        ? "calm"
-                        : *mode == Mode::Refused ? "refused"
-                                                 : "silent",
-                    calls, announcedBytes)
-                    .c_str());
+            const double announced = region.announcements * regions / toSeconds(observed)
+                * static_cast<double>(size - 1);
+            const char *state = !mode ? "calm" : *mode == Mode::Refused ? "refused" : "silent";
+            UT_PRINT(fmt::format("{} instances, {}: {:.1f} calls/s, {:.1f} confirmations/s of {} "
+                                 "bytes",
+                fleet.instances, state, calls, announced, region.heartbeatBytes())
+                         .c_str());
             CHECK(calls < fleet.callsPerSecond / 10);
         }
 }
