--- a/gateway/include/endivequay/statefeed.h
+++ b/gateway/include/endivequay/statefeed.h
@@ -290,6 +290,7 @@
             = std::chrono::duration_cast<std::chrono::milliseconds>(reregistrationSpread).count();
         const auto hash = hash64(member_.id.value()) % static_cast<std::uint64_t>(spreadMs);
         nextAt_ = now + std::chrono::milliseconds(hash);
+        probeAt_ = nextAt_;
     }
 
     void grant()
--- a/gateway/test/statefeed_test.cpp
+++ b/gateway/test/statefeed_test.cpp
@@ -190,6 +190,9 @@
     store.currentEpoch = StoreEpoch(2);
     advanceClock(0s);
     CHECK_FALSE(registration.registered());
+    registration.probe(now); // Must not bring the writes of a whole fleet together.
+    advanceClock(0s);
+    LONGS_EQUAL(1, store.grants.size());
     advanceClock(Registration<ScriptedStore>::reregistrationSpread);
     LONGS_EQUAL(2, store.grants.size());
     store.grants.back()(LeaseId { 7 });
