--- a/gateway/include/endivequay/entrynode.h
+++ b/gateway/include/endivequay/entrynode.h
@@ -81,8 +81,8 @@
     /// reads it.
     void sendHeartbeat(std::optional<Interval> stateAge);
     /// Schedules an early heartbeat that announces the state's revision: to the whole region if it
-    /// is from the store (\a readsStore), to the failure domain if this instance is a relay.
-    void announceState(bool readsStore);
+    /// is \a fromStore, to the failure domain if this instance is a relay.
+    void announceState(bool fromStore);
     /// Requests changes that the store has not delivered from a peer.
     void requestStateFromPeers(const std::function<void()> &changed);
     /// Addresses for a caller that looks up the directory.
--- a/gateway/include/endivequay/readerelection.h
+++ b/gateway/include/endivequay/readerelection.h
@@ -65,7 +65,7 @@
         Instant confirmedByHigherAt;
     };
 
-    Region region(Instant now) const;
+    Region surveyRegion(Instant now) const;
     Role nextRole(const Region &region, Instant now) const;
     /// When this instance becomes a candidate if there is no further confirmation.
     Instant candidateAt(const Region &region) const;
--- a/gateway/src/entrypeers.cpp
+++ b/gateway/src/entrypeers.cpp
@@ -180,12 +180,12 @@
         announceState(true);
 }
 
-void EntryCore::announceState(bool readsStore)
+void EntryCore::announceState(bool fromStore)
 {
     const Instant at = now();
-    if (!readsStore && !(relay_.isLarge() && relay_.isRelay(at)))
+    if (!fromStore && !(relay_.isLarge() && relay_.isRelay(at)))
         return;
-    announceToRegion_ = announceToRegion_ || readsStore;
+    announceToRegion_ = announceToRegion_ || fromStore;
     nextHeartbeatAt_
         = std::min(nextHeartbeatAt_, std::max(at, lastHeartbeatSentAt_ + announceInterval));
 }
--- a/gateway/src/readerelection.cpp
+++ b/gateway/src/readerelection.cpp
@@ -6,7 +6,7 @@
 
 namespace endivequay {
 
-ReaderElection::Region ReaderElection::region(Instant now) const
+ReaderElection::Region ReaderElection::surveyRegion(Instant now) const
 {
     Region region;
     const auto own = relayRank(self_);
@@ -43,7 +43,7 @@
 
 ReaderElection::Role ReaderElection::update(Instant now)
 {
-    const Region region = this->region(now);
+    const Region region = surveyRegion(now);
     // A reader that has left since followed the store until then.
     confirmedAt_ = std::max(confirmedAt_, region.confirmedAt);
     const Role next = nextRole(region, now);
