--- a/gateway/include/endivequay/edgeserver.h
+++ b/gateway/include/endivequay/edgeserver.h
@@ -87,7 +87,7 @@
 
     EdgeServer(asio::io_context &loop, ServerLimits limits, Handlers handlers);
     void accept();
-    void acceptFailed();
+    void acceptFailed(bool noDescriptors);
     void accepted(asio::ip::tcp::socket socket);
     /// Closes the connection that has been idle for longest. Returns false if none is idle.
     bool closeOldestIdle();
--- a/gateway/src/edgeserver.cpp
+++ b/gateway/src/edgeserver.cpp
@@ -83,19 +83,20 @@
     acceptor_.async_accept([this](const asio::error_code &error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted || !acceptor_.is_open())
             return;
-        if (error) {
-            acceptFailed();
+        if (error && error != asio::error::connection_aborted) {
+            acceptFailed(error == asio::error::no_descriptors);
             return;
         }
-        accepted(std::move(socket));
+        if (!error)
+            accepted(std::move(socket));
         accept();
     });
 }
 
-void EdgeServer::acceptFailed()
+void EdgeServer::acceptFailed(bool noDescriptors)
 {
     countRejected("accept_failed");
-    if (closeOldestIdle()) {
+    if (noDescriptors && closeOldestIdle()) {
         accept();
         return;
     }
