--- a/gateway/src/edgeclient.cpp
+++ b/gateway/src/edgeclient.cpp
@@ -63,6 +63,9 @@
         , held_(client.limits_.budget)
     { }
 
+    /// Gives the memory back. The connection is not used any more.
+    void releaseMemory() { held_ = ByteReservation(); }
+
     void connect(const asio::ip::tcp::endpoint &endpoint)
     {
         asio::error_code error;
@@ -368,7 +371,15 @@
     , now_(std::move(now))
 { }
 
-EdgeClient::~EdgeClient() = default;
+EdgeClient::~EdgeClient()
+{
+    // Pending operations of the event loop may keep connections longer than the budget lives.
+    for (const auto &[id, connection] : calls_)
+        connection->releaseMemory();
+    for (const auto &[address, connections] : idle_)
+        std::ranges::for_each(
+            connections, [](const auto &connection) { connection->releaseMemory(); });
+}
 
 std::shared_ptr<EdgeClient::Connection> EdgeClient::takeIdleConnection(const HttpCall &call)
 {
--- a/gateway/src/edgeconnection.h
+++ b/gateway/src/edgeconnection.h
@@ -113,6 +113,17 @@
         server_.connections_.erase(self);
     }
 
+    /// Closes the connection without a word to the handlers, and gives its memory back.
+    void abandon()
+    {
+        closed_ = true;
+        asio::error_code ignored; // The connection is abandoned in any case.
+        socket_.close(ignored);
+        pending_.clear();
+        inputBytes_ = ByteReservation();
+        outputBytes_ = ByteReservation();
+    }
+
 private:
     struct PendingRequest
     {
--- a/gateway/src/edgeserver.cpp
+++ b/gateway/src/edgeserver.cpp
@@ -49,7 +49,11 @@
     , handlers_(std::move(handlers))
 { }
 
-EdgeServer::~EdgeServer() = default;
+EdgeServer::~EdgeServer()
+{
+    // Pending operations of the event loop may keep connections longer than the budget lives.
+    std::ranges::for_each(connections_, [](const auto &connection) { connection->abandon(); });
+}
 
 Result<std::unique_ptr<EdgeServer>> EdgeServer::listen(
     asio::io_context &loop, const Address &address, ServerLimits limits, Handlers handlers)
--- a/gateway/test/connectionlimits_test.cpp
+++ b/gateway/test/connectionlimits_test.cpp
@@ -1,4 +1,5 @@
 // Asio must be included before CppUTest, whose memory macros break it.
+#include "endivequay/edgeclient.h"
 #include "endivequay/edgeserver.h"
 #include "rawpeer.h"
 
@@ -122,3 +123,26 @@
     LONGS_EQUAL(3, server->connectionCount());
     LONGS_EQUAL(1, rejected["too_many_connections"]);
 }
+
+// Guards against a process that uses freed memory at its exit: the event loop ends after the budget
+// and still holds connections. Shows under the address sanitizer.
+TEST(ConnectionLimits, ConnectionsOfTheLoopOutliveTheBudget)
+{
+    asio::io_context outer;
+    ExchangeId open = 0;
+    {
+        ByteBudget budget(std::size_t { 1 } << 20);
+        auto listening = EdgeServer::listen(outer, anyPort, {},
+            { [&](ExchangeId id, HttpMessage &&) { open = id; }, [](ExchangeId) {},
+                [](const HttpMessage &) { return true; }, [this] { return clock.now(); }, {},
+                &budget });
+        CHECK(listening.hasValue());
+        EdgeClient::Limits limits;
+        limits.budget = &budget;
+        EdgeClient client(outer, limits, [this] { return clock.now(); });
+        client.send({ (*listening)->address(), "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n",
+                        clock.now() + 5s, true, false, {}, {}, {} },
+            [](CallResult &&) {});
+        CHECK(runUntil(outer, [&] { return open != 0; }));
+    }
+}
