--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -430,6 +430,27 @@
         await close(connection[1])
 
 
+def resident_mb(pid: int) -> float:
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+        return int(status.split("VmRSS:")[1].split()[0]) / 1024
+    except (OSError, IndexError):
+        return 0.0
+
+
+async def enforce_memory(machine: Machine, limit_mb: float, record: Record, peak: list[float]) -> None:
+    """The platform kills a process that exceeds ram_mb. Ends with the process."""
+    process = machine.process
+    while process.returncode is None:
+        used = resident_mb(process.pid)
+        peak[0] = max(peak[0], used)
+        if used > limit_mb:
+            record.say(f"the process holds {used:.0f} MB of {limit_mb} MB; the platform kills it")
+            process.kill()
+            return
+        await asyncio.sleep(0.02)
+
+
 def trouble() -> bool:
     return os.environ.get("TROUBLE", "1") != "0"
 
