--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -286,6 +286,7 @@
         self.store = Store()
         self.store.revision = 100
         self.store_away = False
+        self.back_at = 0.0  # When the store came back from its latest drill.
         self.store_ip, self.store_port = self.next_ip(), 0
         self.next_lease = 1_000_000
         self.machines: list[Machine] = []
@@ -324,6 +325,7 @@
         await self.store.restore(copy)
         # Heartbeats lapse three intervals after the last one that the copy holds, or that comes from now on.
         self.store_away = self.store.away = False
+        self.back_at = time.monotonic()
         self.record.write(f"store: back from a copy, revision {self.store.revision}, era {self.store.era}")
         await asyncio.sleep(0.3)
         value = base64.b64encode(json.dumps(self.config).encode()).decode()
