--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -74,11 +74,12 @@
     return {"cols": columns, "rows": [[row.get(name) for name in columns] for row in rows]}
 
 
-def configuration(version: int, routes: list[dict], services: list[str], tenants: list[dict] | None = None) -> dict:
+def configuration(version: int, routes: list[dict], services: list[str], tenants: list[dict] | None = None,
+                  cold_s: float = 0, cold_per_s: float = 0) -> dict:
     defaults = {"host": HOST, "timeout_s": 5, "goal_s": 1, "prio": 1, "attempts": 2, "public": False}
     config = {"version": f"r{version}", "routes": table([defaults | route for route in routes]),
-              "services": table([{"name": name, "health_path": "/health", "max_conns": 390, "cold_s": 0,
-                                  "cold_per_s": 0} for name in services]),
+              "services": table([{"name": name, "health_path": "/health", "max_conns": 390,
+                                  "cold_s": cold_s, "cold_per_s": cold_per_s} for name in services]),
               "limits": {"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_s": 3, "idle_s": 15}}
     if tenants is not None:
         config["tenants"] = table(tenants)
@@ -110,6 +111,8 @@
         self.body = lambda path, request_id: (request_id * 20).encode()
         self.running = 0
         self.lease = 0
+        self.cold_until = 0.0
+        self.health_checks = 0
 
     async def start(self) -> None:
         if self.server is None:
@@ -131,10 +134,20 @@
     async def write_entry(self) -> None:
         self.sequence += 1
         entry = {"service": self.service, "addr": f"{self.ip}:{self.port}", "zone": self.zone, "version": "v1",
-                 "slots": self.slots, "state": self.state, "cold_left_s": 0, "seq": self.sequence, "born": self.born}
+                 "slots": self.slots, "state": self.state, "cold_left_s": round(self.cold_left_s(), 1),
+                 "seq": self.sequence, "born": self.born}
         await self.fleet.store.put(f"servers/{self.name}", entry, self.lease)
         self.written = self.fleet.store.items[f"servers/{self.name}"]["value"]
 
+    def cold_left_s(self) -> float:
+        return max(0.0, self.cold_until - time.monotonic())
+
+    async def turn_cold(self, seconds: float) -> None:
+        """Becomes cold again; its entry says so as soon as the store takes it."""
+        self.cold_until = time.monotonic() + seconds
+        if not self.fleet.store_away:
+            await self.write_entry()
+
     async def beat(self) -> None:
         while self.alive:
             await asyncio.sleep(BEAT_S / 2)
@@ -185,6 +198,11 @@
     async def handle(self, request: Message, writer: asyncio.StreamWriter) -> None:
         request_id = request.headers.get("x-request-id", "")
         headers = {"X-Request-Id": request_id}
+        if request.target == "/health":
+            self.health_checks += 1
+            writer.write(encode("HTTP/1.1 200 OK", {"X-Instance-Id": self.name,
+                                                    "X-Cold-Ms": str(int(self.cold_left_s() * 1000))}))
+            return
         ran = request.headers.get("x-expect-instance", self.name) == self.name
         self.arrivals.append(Arrival(time.monotonic(), request_id, request.target, ran))
         self.fleet.record.write(f"backend {self.name} born {self.born} {'runs' if ran else 'rejects'} {request_id}"
